--- /dev/null
+++ b/seamlb/desks/__init__.py
@@ -0,0 +1,1 @@
+"""Desk clients: attempts of the core, carried out towards duty desks."""
--- /dev/null
+++ b/seamlb/desks/platform.py
@@ -0,0 +1,352 @@
+"""Desk client for the platform's SIP dialect over TCP: one connection a desk, spares where it falls silent."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from seamlb import log
+from seamlb.net.connection import ConnectFailed, Connection, connect
+from seamlb.net.reason import CloseReason
+from seamlb.protocol.report import NOTES, parse_report
+from seamlb.protocol.sip import Framer, Message, parameter, response
+from seamlb.routing.model import Answer, Attempt, Availability, Desk, Heard, Outcome, Status
+
+MAX_CONNECTIONS = 4  # a desk tells the state of its group on four at most
+STATUSES = {503: Status.FULL, 486: Status.ERROR, 500: Status.ERROR, 480: Status.MOOT, 504: Status.RESET}
+CUT = 41  # Q.850 cause of a call that was cut
+NORMAL = 16
+RETRY_FIRST, RETRY_MOST = 0.1, 1.0  # seconds between tries to connect
+SUSPECT = 1.5  # seconds without a byte, with a set-up out, before a second connection tests the first
+UNREACHABLE = 6.0  # seconds without a way to a desk before its standing calls count as cut
+REMEMBER = 30.0  # seconds for which a leg that is over is known
+
+
+@dataclass(slots=True)
+class Leg:
+    """An attempt on the wire, then the call that stands by it."""
+
+    attempt: Attempt
+    heard: Heard
+    connection: Connection | None = None  # None: waits for one
+    stands: bool = False
+    sent: float = 0.0
+
+
+@dataclass(slots=True)
+class Link:
+    """All connections to one desk."""
+
+    desk: Desk
+    open: list[Connection] = field(default_factory=list)  # the last one carries what is new
+    keeper: asyncio.Task[None] | None = None
+    wanted: asyncio.Event = field(default_factory=asyncio.Event)
+    waiting: list[Leg] = field(default_factory=list)
+    releases: list[bytes] = field(default_factory=list)  # for the next connection
+    lost_at: float | None = None  # since when there is no way to the desk
+    gone: bool = False
+
+
+class PlatformDesks:
+    """Carries attempts to desks at the addresses that the list gives."""
+
+    def __init__(
+        self, fields: Sequence[str], connect_timeout: float, idle_close: float,
+        sampled: Callable[[str, tuple[float, ...]], None], stray: Callable[[str, int], None],
+    ) -> None:
+        self.fields = fields
+        self.connect_timeout = connect_timeout
+        self.idle_close = idle_close
+        self.sampled = sampled
+        self.stray = stray  # the release of a call that this process never knew
+        self.links: dict[str, Link] = {}
+        self.legs: dict[tuple[str, str], Leg] = {}
+        self.over: dict[tuple[str, str], float] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.closing = False
+
+    # -- asked by the core --------------------------------------------------------------------
+
+    def listed(self, desk: Desk) -> None:
+        """Keep a connection to each listed desk: the state of its group comes on it."""
+        link = self.links.get(desk.ident)
+        if link is not None and (link.desk.address != desk.address or desk.availability == Availability.GONE):
+            self._drop(link)
+            link = None
+        if desk.availability == Availability.GONE:
+            return
+        if link is None:
+            link = self.links[desk.ident] = Link(desk)
+            link.keeper = self._spawn(self._keep(link))
+        elif desk.since_ms != link.desk.since_ms:
+            self._cut_standing(link)  # its process is a new one: what stood at the old one is cut
+        link.desk = desk
+
+    def set_up(self, attempt: Attempt, heard: Heard) -> None:
+        leg = Leg(attempt, heard, sent=asyncio.get_running_loop().time())
+        link = self.links.get(attempt.desk)
+        if link is None:
+            heard(attempt.leg, Outcome(Status.CONNECT_FAILED))
+            return
+        self.legs[self._key(attempt)] = leg
+        if usable := self._usable(link):
+            self._invite(leg, usable)
+        else:
+            link.waiting.append(leg)
+            link.wanted.set()
+
+    def give_up(self, attempt: Attempt) -> None:
+        leg = self._over(self._key(attempt))
+        link = self.links.get(attempt.desk)
+        if leg and leg.connection:
+            leg.connection.send(self._request("CANCEL", attempt).encode())
+        elif leg and link and leg in link.waiting:
+            link.waiting.remove(leg)
+        if link:
+            link.wanted.set()
+
+    def release(self, attempt: Attempt, cause: int) -> None:
+        if self._over(self._key(attempt)) is None:
+            return
+        if link := self.links.get(attempt.desk):
+            self._bye(link, attempt, cause)
+
+    def free(self, desk: str) -> None:
+        if link := self.links.get(desk):
+            for connection in link.open[:-1]:
+                if not self._legs_on(connection):
+                    connection.close(CloseReason.IDLE)
+
+    def close(self) -> None:
+        self.closing = True
+        for link in list(self.links.values()):
+            for connection in link.open[:]:
+                connection.finish(CloseReason.SHUTDOWN)
+        for task in self.tasks:
+            task.cancel()
+
+    # -- connections --------------------------------------------------------------------------
+
+    def _spawn(self, coroutine: Callable[[], None] | object) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(coroutine)  # type: ignore[arg-type]
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def _keep(self, link: Link) -> None:
+        """Hold a connection to the desk, and test with another one when it falls silent."""
+        loop = asyncio.get_running_loop()
+        pause = RETRY_FIRST
+        while not link.gone:
+            if link.open and not self._suspect(link):
+                link.wanted.clear()
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(link.wanted.wait(), 0.5)
+                continue
+            if len(link.open) >= MAX_CONNECTIONS:
+                link.open[0].close(CloseReason.SILENT)
+            try:
+                connection = await connect(link.desk.address, "desk", self.connect_timeout)
+            except ConnectFailed as failed:
+                if link.gone:
+                    return
+                self._unreachable(link, failed.reason, loop.time())
+                link.wanted.clear()
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(link.wanted.wait(), pause)
+                pause = min(2 * pause, RETRY_MOST)
+                continue
+            if link.gone:
+                connection.close(CloseReason.REPLACED)
+                return
+            pause, link.lost_at = RETRY_FIRST, None
+            self._opened(link, connection)
+
+    def _suspect(self, link: Link) -> bool:
+        """Is a set-up out on the newest connection, and not a byte back for long?"""
+        now = asyncio.get_running_loop().time()
+        newest = link.open[-1]
+        return now - newest.last_read > SUSPECT and any(
+            now - leg.sent > SUSPECT for leg in self._legs_on(newest) if not leg.stands
+        )
+
+    def _opened(self, link: Link, connection: Connection) -> None:
+        link.open.append(connection)
+        self._spawn(self._serve(link, connection))
+        for old in link.open[:-1]:
+            if not self._legs_on(old):
+                old.close(CloseReason.SILENT)
+        for data in link.releases:
+            connection.send(data)
+        link.releases.clear()
+        waiting, link.waiting = link.waiting, []
+        for leg in waiting:
+            self._invite(leg, connection)
+
+    def _unreachable(self, link: Link, reason: CloseReason, now: float) -> None:
+        """No connection comes up: nothing ran of what waits; a refusal tells of a dead process."""
+        link.lost_at = now if link.lost_at is None else link.lost_at
+        for connection in link.open[:]:  # silent too: the machine is gone or cut off
+            connection.close(CloseReason.SILENT)
+        waiting, link.waiting = link.waiting, []
+        for leg in waiting:
+            self._over(self._key(leg.attempt))
+            leg.heard(leg.attempt.leg, Outcome(Status.CONNECT_FAILED))
+        if reason == CloseReason.REFUSED or now - link.lost_at > UNREACHABLE:
+            self._cut_standing(link)
+
+    async def _serve(self, link: Link, connection: Connection) -> None:
+        framer = Framer()
+
+        def received(data: bytes) -> None:
+            framer.feed(data)
+            for message in framer.messages():
+                if isinstance(message, Message):
+                    self._message(link, connection, message)
+                    continue
+                log.event("malformed", kind="desk", peer=connection.peer, error=str(message))
+                if message.lost:
+                    connection.close(CloseReason.MALFORMED)
+                    return
+
+        try:
+            await connection.run(received)
+        finally:
+            link.open.remove(connection)
+            if not self.closing:
+                for leg in self._legs_on(connection):
+                    if not leg.stands:  # the connection was lost before the answer
+                        self._over(self._key(leg.attempt))
+                        leg.heard(leg.attempt.leg, Outcome(Status.RESET))
+                link.wanted.set()
+
+    def _drop(self, link: Link) -> None:
+        """The desk is gone from the list, or another machine has its name: all it had is cut."""
+        link.gone = True
+        del self.links[link.desk.ident]
+        link.wanted.set()
+        for leg in link.waiting:
+            self._over(self._key(leg.attempt))
+            leg.heard(leg.attempt.leg, Outcome(Status.CONNECT_FAILED))
+        for connection in link.open[:]:
+            connection.close(CloseReason.REPLACED)
+        for key, leg in list(self.legs.items()):
+            if key[0] == link.desk.ident:
+                self._over(key)
+                leg.heard(leg.attempt.leg, Outcome(Status.RESET, cause=CUT))
+
+    def _cut_standing(self, link: Link) -> None:
+        for key, leg in list(self.legs.items()):
+            if key[0] == link.desk.ident and leg.stands:
+                self._over(key)
+                leg.heard(leg.attempt.leg, Outcome(Status.RESET, cause=CUT))
+
+    def _usable(self, link: Link) -> Connection | None:
+        return next((one for one in reversed(link.open) if not one.closed), None)
+
+    def _legs_on(self, connection: Connection) -> list[Leg]:
+        return [leg for leg in self.legs.values() if leg.connection is connection and not leg.stands]
+
+    # -- messages -----------------------------------------------------------------------------
+
+    def _key(self, attempt: Attempt) -> tuple[str, str]:
+        return attempt.desk, attempt.request.ident
+
+    def _over(self, key: tuple[str, str]) -> Leg | None:
+        """Take a leg off; it is remembered for a while, so that late word of it is known as such."""
+        now = asyncio.get_running_loop().time()
+        while self.over and next(iter(self.over.values())) < now - REMEMBER:
+            del self.over[next(iter(self.over))]
+        leg = self.legs.pop(key, None)
+        if leg is not None:
+            self.over.pop(key, None)
+            self.over[key] = now
+        return leg
+
+    def _request(self, method: str, attempt: Attempt, *extra: tuple[str, str], body: bytes = b"") -> Message:
+        return self._named(method, attempt.request.ident, attempt.request.number, attempt.leg, *extra, body=body)
+
+    def _named(
+        self, method: str, ident: str, number: str, leg: int, *extra: tuple[str, str], body: bytes = b""
+    ) -> Message:
+        sequence = 2 * leg + (2 if method == "BYE" else 1)
+        headers = [
+            ("Via", f"SIP/2.0/TCP seamlb;branch=z9hG4bK{ident}-{sequence}"), ("Call-ID", ident),
+            ("CSeq", f"{sequence} {method}"), *extra,
+        ]
+        return Message(method, f"sip:{number}@net", headers=headers, body=body)
+
+    def _invite(self, leg: Leg, connection: Connection) -> None:
+        leg.connection, leg.sent = connection, asyncio.get_running_loop().time()
+        request = leg.attempt.request
+        waited = max(1, int(leg.attempt.within_ms))
+        message = self._request(
+            "INVITE", leg.attempt, ("X-Cos", request.class_name), ("X-Timer-Ms", str(waited)),
+            body=request.description,
+        )
+        if not connection.send(message.encode()):
+            self._over(self._key(leg.attempt))
+            leg.heard(leg.attempt.leg, Outcome(Status.RESET))
+
+    def _bye(self, link: Link, attempt: Attempt, cause: int) -> None:
+        data = self._request("BYE", attempt, ("Reason", f"Q.850;cause={cause}")).encode()
+        connection = self._usable(link)
+        if connection is None or not connection.send(data):
+            link.releases.append(data)
+            link.wanted.set()
+
+    def _message(self, link: Link, connection: Connection, message: Message) -> None:
+        ident = message.get("call-id")
+        key = (link.desk.ident, ident)
+        leg = self.legs.get(key)
+        if message.method == "NOTIFY":
+            if report := parse_report(message.get("x-occupancy"), self.fields):
+                self.sampled(link.desk.ident, report)
+        elif message.method == "BYE":
+            connection.send(response(message, 200).encode())
+            self._released(key, leg, message)
+        elif message.method == "OPTIONS":
+            connection.send(response(message, 200).encode())
+        elif message.status >= 200 and message.cseq()[1] == "INVITE":
+            sequence = message.cseq()[0]
+            ours = leg if leg and 2 * leg.attempt.leg + 1 == sequence else None
+            self._ack(connection, ident, sequence)
+            if message.status < 300:
+                self._answered(connection, ident, sequence, ours, message)
+            elif ours and not ours.stands:
+                self._over(key)
+                ours.heard(ours.attempt.leg, Outcome(
+                    STATUSES.get(message.status, Status.ERROR), NOTES.get(message.get("x-diagnosis"), 0),
+                    parse_report(message.get("x-occupancy"), self.fields),
+                ))
+
+    def _ack(self, connection: Connection, ident: str, sequence: int) -> None:
+        ack = self._named("ACK", ident, "call", (sequence - 1) // 2)
+        connection.send(ack.encode())
+
+    def _answered(
+        self, connection: Connection, ident: str, sequence: int, leg: Leg | None, message: Message
+    ) -> None:
+        if leg is None:
+            # The answer crossed our CANCEL: nobody waits for it, so it is taken down, never passed on.
+            bye = self._named("BYE", ident, "call", (sequence - 1) // 2, ("Reason", f"Q.850;cause={NORMAL}"))
+            connection.send(bye.encode())
+        elif not leg.stands:
+            leg.stands = True
+            leg.heard(leg.attempt.leg, Answer(message.body))
+
+    def _released(self, key: tuple[str, str], leg: Leg | None, message: Message) -> None:
+        told = parameter(message.get("reason"), "cause")
+        cause = int(told) if told.isdigit() else CUT
+        if leg is not None:
+            self._over(key)
+            status = Status.OK if cause == NORMAL and leg.stands else Status.RESET
+            report = parse_report(message.get("x-occupancy"), self.fields)
+            leg.heard(leg.attempt.leg, Outcome(status, 0, report, cause))
+        elif key not in self.over:
+            # A call that stood before this process started: its client still has to hear of its end.
+            self.stray(key[1], cause)
+
+
--- /dev/null
+++ b/seamlb/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Fronts: what callers speak, turned into requests for the core."""
--- /dev/null
+++ b/seamlb/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: where the list of duty desks comes from."""
--- /dev/null
+++ b/seamlb/net/__init__.py
@@ -0,0 +1,1 @@
+"""Transport: connections, listeners and datagrams; knows bytes, no message."""
--- /dev/null
+++ b/seamlb/net/datagram.py
@@ -0,0 +1,51 @@
+"""UDP endpoints on asyncio (Tornado has no UDP stream)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from seamlb import log
+from seamlb.net.connection import split_address
+
+Received = Callable[[bytes, tuple[str, int]], None]
+
+
+class Endpoint(asyncio.DatagramProtocol):
+    """One bound address; a fault in a handler is logged and costs that datagram only."""
+
+    def __init__(self, kind: str, received: Received) -> None:
+        self.kind = kind
+        self.received = received
+        self.transport: asyncio.DatagramTransport | None = None
+        self.address = ("", 0)
+
+    @classmethod
+    async def bind(cls, address: str, kind: str, received: Received) -> Endpoint:
+        loop = asyncio.get_running_loop()
+        _, endpoint = await loop.create_datagram_endpoint(
+            lambda: cls(kind, received), local_addr=split_address(address)
+        )
+        return endpoint
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.address = transport.get_extra_info("sockname")[:2]
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        try:
+            self.received(data, (addr[0], addr[1]))
+        except Exception as error:
+            log.event("fault", where=self.kind, error=repr(error), trace=log.trace(error))
+
+    def error_received(self, exc: Exception) -> None:
+        log.event("datagram_error", kind=self.kind, error=repr(exc))
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.sendto(data, address)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
--- /dev/null
+++ b/seamlb/protocol/report.py
@@ -0,0 +1,38 @@
+"""Load reports and diagnoses in the headers of duty desks."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from math import isfinite
+
+NOTES = {"atb": 1, "rtb": 2, "acc": 3, "sub": 4}  # X-Diagnosis
+
+
+def parse_report(text: str, fields: Sequence[str]) -> tuple[float, ...]:
+    """`idle:12;circuits:40` in the order of `fields`, -1 for what is not told; () if nothing is."""
+    told = {}
+    for part in text.split(";"):
+        name, _, figure = part.partition(":")
+        try:
+            value = float(figure)
+        except ValueError:
+            continue
+        if isfinite(value):
+            told[name.strip()] = value
+    if not told.keys() & set(fields):
+        return ()
+    return tuple(told.get(name, -1.0) for name in fields)
+
+
+def parse_figures(text: str) -> dict[str, float]:
+    """`dest:2;width:1;via:-1` as figures; what is no figure is passed over."""
+    found = {}
+    for part in text.split(";"):
+        name, _, figure = part.partition(":")
+        try:
+            value = float(figure)
+        except ValueError:
+            continue
+        if isfinite(value):
+            found[name.strip()] = value
+    return found
--- /dev/null
+++ b/seamlb/routing/agent.py
@@ -0,0 +1,318 @@
+"""The agent: feeds the decision module, carries out its actions, lives each request's life."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from cottonhinge import api
+from cottonhinge.choice import Controller
+from seamlb import log
+from seamlb.routing.model import Answer, Attempt, Caller, Desk, DeskClient, Outcome, Peers, Request
+
+
+class Clock:
+    """Unix milliseconds that never go back: the wall clock at the start, then the monotonic one."""
+
+    def __init__(self) -> None:
+        self.offset = time.time() * 1000.0 - time.monotonic() * 1000.0
+
+    def now(self) -> float:
+        return self.offset + time.monotonic() * 1000.0
+
+
+@dataclass(slots=True, frozen=True)
+class CallerLeft:
+    """The caller gave the request up, or released the call; told by a front."""
+
+    cause: int = 16
+
+
+@dataclass(slots=True, frozen=True)
+class TimedOut:
+    """An attempt's time is over."""
+
+    leg: int
+
+
+@dataclass(slots=True, frozen=True)
+class Heard:
+    """What a desk client told of an attempt."""
+
+    leg: int
+    what: Answer | Outcome
+
+
+Verdict = api.CallOut | api.Deny | api.ReportFailure | api.Withdraw
+News = Verdict | CallerLeft | TimedOut | Heard
+
+
+@dataclass(slots=True)
+class Life:
+    """One request from its taking to its end; owned by its coroutine, told news by the others."""
+
+    number: int  # the module's name for it
+    request: Request
+    caller: Caller
+    news: asyncio.Queue[News] = field(default_factory=asyncio.Queue)
+    attempt: Attempt | None = None  # the one slot: never two attempts at once (rule 1)
+    attempts: int = 0
+    sent: float = 0.0  # clock time of the attempt
+    answered: bool = False
+    stood: bool = False
+    closed: Callable[[], object] = lambda: None  # tells the front that the life is over
+
+
+class Agent:
+    """One call agent; fronts give it requests, desk clients outcomes, membership the list."""
+
+    def __init__(
+        self, settings: api.Settings, seed: int, max_open: int = 20000, clock: Callable[[], float] | None = None,
+        observe: Callable[[Request, str, int], None] | None = None,
+    ) -> None:
+        self.settings = settings
+        self.module = Controller(settings, seed)
+        self.clock = clock or Clock().now
+        self.max_open = max_open
+        self.observe = observe
+        self.desks: DeskClient | None = None
+        self.peers: Peers | None = None
+        self.lives: dict[int, Life] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.taken = 0
+        self.unanswered = 0
+        self.numbers: dict[str, int] = {}  # desk id: the module's number, the same after a restart
+        self.names: list[str] = []
+        self.listed: dict[str, Desk] = {}
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    # -- the module ---------------------------------------------------------------------------
+
+    def feed(self, event: api.Event) -> None:
+        """Give the module an event and carry out what it decides, in order."""
+        for action in self.module.handle(self.clock(), event):
+            match action:
+                case api.CallOut() | api.Deny() | api.ReportFailure() | api.Withdraw():
+                    if life := self.lives.get(action.call):
+                        life.news.put_nowait(action)
+                case api.WakeAt(token, at):
+                    delay = max(0.0, at - self.clock()) / 1000.0
+                    asyncio.get_running_loop().call_later(delay, self.feed, api.Alarm(token))
+                case api.Signal(target, payload):
+                    if self.peers:
+                        self.peers.send(target, payload)
+                case api.FreeLinks(server):
+                    if self.desks:
+                        self.desks.free(self.names[server])
+                case api.Log(text):
+                    log.event("module", text=text)
+                case api.Follow() | api.Pull() | api.Poll():
+                    pass  # the list comes unasked here, and desks may not be probed
+
+    # -- the list of desks --------------------------------------------------------------------
+
+    def list_changed(self, scope: api.Scope, desks: Sequence[Desk]) -> None:
+        """News of the list; told to the module first, so that nothing new goes to a desk that drains."""
+        entries = tuple(
+            api.ListEntry(self._number(d.ident), d.zone, d.cell, d.availability, d.since_ms) for d in desks
+        )
+        self.feed(api.ListChange(scope, entries))
+        gone = [] if scope == api.Scope.DELTA else self.listed.keys() - {d.ident for d in desks}
+        for name in sorted(gone):
+            old = self.listed[name]
+            self._listed(Desk(name, old.address, old.zone, old.cell, api.Availability.GONE, old.since_ms))
+        for desk in desks:
+            self._listed(desk)
+
+    def _listed(self, desk: Desk) -> None:
+        if desk.availability == api.Availability.GONE:
+            self.listed.pop(desk.ident, None)
+        else:
+            self.listed[desk.ident] = desk
+        if self.desks:
+            self.desks.listed(desk)
+
+    def _number(self, ident: str) -> int:
+        if ident not in self.numbers:
+            self.numbers[ident] = len(self.names)
+            self.names.append(ident)
+        return self.numbers[ident]
+
+    def sampled(self, desk: str, report: tuple[float, ...]) -> None:
+        """Unasked news of a desk's free agents."""
+        if desk in self.numbers:
+            self.feed(api.Sampled(self.numbers[desk], api.Status.OK, 0.0, report))
+
+    def peer_said(self, sender: int, payload: bytes) -> None:
+        """A message from another call agent."""
+        self.feed(api.PeerNote(sender, payload))
+
+    # -- the life of a request ----------------------------------------------------------------
+
+    def take(self, request: Request, caller: Caller) -> Life | None:
+        """Take a request; its final answer comes by `caller`. None: answered already, too many open."""
+        if self.unanswered >= self.max_open:
+            caller.refused(0.0)
+            return None
+        self.taken += 1
+        self.unanswered += 1
+        life = Life(self.taken, request, caller)
+        self.lives[life.number] = life
+        self.idle.clear()
+        task = asyncio.get_running_loop().create_task(self._live(life))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return life
+
+    def caller_left(self, life: Life, cause: int = 16) -> None:
+        """A front tells that the caller gave the request up, or released the call."""
+        life.news.put_nowait(CallerLeft(cause))
+
+    async def _live(self, life: Life) -> None:
+        """The life of one request, from top to bottom."""
+        result = "fault"
+        try:
+            request = life.request
+            grace = request.patience_ms - request.sent_ms_ago
+            self.feed(api.Demand(
+                call=life.number, call_class=request.call_class, tenant=request.tenant, grace=grace,
+                destination=request.destination, slots=request.slots, cut_before=request.cut_before,
+                via=request.via,
+            ))
+            decision = await self._decision(life)
+            while isinstance(decision, api.CallOut):
+                result_of = await self._attempt(life, decision)
+                if isinstance(result_of, Answer):
+                    result = await self._stand(life, result_of)
+                    return
+                if isinstance(result_of, Outcome):
+                    self._ended(life, result_of, final=False)
+                    decision = await self._decision(life)
+                else:
+                    decision = result_of
+            result = self._answer(life, decision)
+        except Exception as error:
+            # A fault in one life must not take others down, nor leave its caller without an answer.
+            log.event("fault", where="life", call=life.request.ident, error=repr(error), trace=log.trace(error))
+            self._abandon(life)
+        finally:
+            self._close(life, result)
+
+    async def _decision(self, life: Life) -> Verdict | CallerLeft:
+        """What the module decides next for a call with no attempt out, unless the caller leaves first."""
+        while True:
+            news = await life.news.get()
+            if isinstance(news, CallerLeft):
+                self.feed(api.HungUp(life.number))
+                return news
+            if isinstance(news, (api.CallOut, api.Deny, api.ReportFailure)):
+                return news
+
+    async def _attempt(self, life: Life, out: api.CallOut) -> Answer | Outcome | Verdict | CallerLeft:
+        """Carry out one attempt to its answer or outcome; an attempt that is left early is called off."""
+        assert self.desks is not None and life.attempt is None
+        within = out.within or life.request.patience_ms
+        attempt = Attempt(life.request, life.attempts, self.names[out.server], within)
+        life.attempt, life.sent = attempt, self.clock()
+        life.attempts += 1
+        timer = asyncio.get_running_loop().call_later(
+            max(0.0, within) / 1000.0, life.news.put_nowait, TimedOut(attempt.leg)
+        )
+        self.desks.set_up(attempt, lambda leg, what: life.news.put_nowait(Heard(leg, what)))
+        try:
+            while True:
+                match await life.news.get():
+                    case Heard(leg, what) if leg == attempt.leg:
+                        return what
+                    case TimedOut(leg) if leg == attempt.leg:
+                        self.desks.give_up(attempt)
+                        return Outcome(api.Status.TIMEOUT)
+                    case api.Withdraw(_, leg) if leg == attempt.leg:
+                        self.desks.give_up(attempt)
+                        return Outcome(api.Status.CANCELLED)
+                    case CallerLeft() as left:
+                        self.desks.give_up(attempt)
+                        self.feed(api.HungUp(life.number))
+                        self._ended(life, Outcome(api.Status.CANCELLED), final=True)
+                        return left
+                    case (api.Deny() | api.ReportFailure()) as final:
+                        self.desks.give_up(attempt)
+                        self._ended(life, Outcome(api.Status.CANCELLED), final=True)
+                        return final
+                    case _:
+                        pass  # news of an attempt that is over
+        finally:
+            timer.cancel()
+
+    async def _stand(self, life: Life, answer: Answer) -> str:
+        """The call stands: pass the answer on, then wait for the release from either side."""
+        assert self.desks is not None and life.attempt is not None
+        told = self._answer(life, answer)
+        self.feed(api.Stands(life.number, life.attempt.leg, self.numbers[life.attempt.desk], self._delay(life)))
+        while told == "stands":
+            match await life.news.get():
+                case Heard(leg, Outcome() as outcome) if leg == life.attempt.leg:
+                    life.caller.released(outcome.cause)
+                    self._ended(life, outcome, final=True)
+                    return "stood" if outcome.status == api.Status.OK else "cut"
+                case CallerLeft(cause):
+                    self.desks.release(life.attempt, cause)
+                    self._ended(life, Outcome(api.Status.CANCELLED), final=True)
+                    return "released"
+                case _:
+                    pass
+        self.desks.release(life.attempt, 16)
+        self._ended(life, Outcome(api.Status.CANCELLED), final=True)
+        return told
+
+    def _answer(self, life: Life, final: Answer | Verdict | CallerLeft) -> str:
+        """The one place that gives a caller its final answer; called once in a life."""
+        life.answered = True
+        self.unanswered -= 1
+        if not self.unanswered:
+            self.idle.set()
+        match final:
+            case CallerLeft():
+                return "left"  # it is owed none
+            case Answer(description):
+                life.stood = True
+                return "stands" if life.caller.stands(description) else "untold"
+            case api.Deny(_, backoff):
+                life.caller.refused(backoff)
+                return "refused"
+            case _:
+                life.caller.failed()
+                return "failed"
+
+    def _ended(self, life: Life, outcome: Outcome, final: bool) -> None:
+        """Tell the module how the attempt in the slot ended, and empty the slot."""
+        attempt = life.attempt
+        if attempt is None:
+            return
+        life.attempt = None
+        self.feed(api.Ended(
+            life.number, attempt.leg, self.numbers[attempt.desk], outcome.status, final, self._delay(life),
+            outcome.note, outcome.report,
+        ))
+
+    def _delay(self, life: Life) -> float:
+        return self.clock() - life.sent
+
+    def _abandon(self, life: Life) -> None:
+        if life.attempt and self.desks:
+            (self.desks.release(life.attempt, 41) if life.stood else self.desks.give_up(life.attempt))
+        if not life.answered:
+            self._answer(life, api.ReportFailure(life.number))
+
+    def _close(self, life: Life, result: str) -> None:
+        del self.lives[life.number]
+        life.closed()
+        log.event(
+            "call_end", call=life.request.ident, kind=life.request.class_name,
+            result=result, attempts=life.attempts,
+        )
+        if self.observe:
+            self.observe(life.request, result, life.attempts)
--- /dev/null
+++ b/seamlb/routing/model.py
@@ -0,0 +1,123 @@
+"""What the core deals in, and what it asks of fronts, desk clients and membership."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from cottonhinge.api import Availability, Scope, Status
+
+__all__ = [
+    "Answer", "Attempt", "Availability", "Caller", "Desk", "DeskClient", "Heard", "Membership", "Outcome", "Peers",
+    "Request", "Scope", "Status",
+]
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    """A call that a caller asked for."""
+
+    ident: str
+    call_class: int
+    class_name: str
+    tenant: int
+    number: str
+    patience_ms: float  # how long the caller waits, from when it sent the request
+    destination: int
+    slots: float = 1.0
+    via: int = -1
+    cut_before: bool = False
+    description: bytes = b""
+    sent_ms_ago: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Attempt:
+    """One try of a request at one desk."""
+
+    request: Request
+    leg: int
+    desk: str
+    within_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """The desk took the call: it stands."""
+
+    description: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """How an attempt, or a call that stood, came to its end."""
+
+    status: Status
+    note: int = 0
+    report: tuple[float, ...] = ()
+    cause: int = 16  # Q.850, of a call that stood
+
+
+@dataclass(slots=True, frozen=True)
+class Desk:
+    """A duty desk on the list."""
+
+    ident: str
+    address: str
+    zone: int
+    cell: int
+    availability: int
+    since_ms: float
+
+
+Heard = Callable[[int, Answer | Outcome], None]  # leg, what became of it
+
+
+class Caller(Protocol):
+    """The side of a request that waits for its final answer."""
+
+    def stands(self, description: bytes) -> bool:
+        """Pass the answer on; False if the caller can no longer be told."""
+
+    def refused(self, back_off_ms: float) -> None:
+        """Final: refused, trying again is harmless; `back_off_ms` 0 gives no advice."""
+
+    def failed(self) -> None:
+        """Final: failed."""
+
+    def released(self, cause: int) -> None:
+        """The call that stood is over."""
+
+
+class DeskClient(Protocol):
+    """Carries attempts to desks."""
+
+    def listed(self, desk: Desk) -> None:
+        """A desk is new, has changed or is gone."""
+
+    def set_up(self, attempt: Attempt, heard: Heard) -> None:
+        """Start an attempt; `heard` is told at most an Answer and then exactly one Outcome."""
+
+    def give_up(self, attempt: Attempt) -> None:
+        """Call an attempt off; nothing more is told of it."""
+
+    def release(self, attempt: Attempt, cause: int) -> None:
+        """End a call that stands; nothing more is told of it."""
+
+    def free(self, desk: str) -> None:
+        """Close idle connections."""
+
+
+class Membership(Protocol):
+    """Brings the list of desks to the core until it is stopped."""
+
+    async def run(self) -> None:
+        """Follow the list."""
+
+
+class Peers(Protocol):
+    """Carries messages between call agents."""
+
+    def send(self, target: int | None, payload: bytes) -> None:
+        """To one agent, or to all (None)."""
