--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from cottonhinge import api
+from seamlb import api
 from seamlb.net.connection import split_address
 from seamlb.protocol.notices import parse_notices
 
--- a/cottonhinge/choice.py
+++ b/seamlb/control.py
@@ -1,4 +1,4 @@
-"""All decisions of the call controller; the types it takes and gives are in cottonhinge/api.py.
+"""All decisions of the call controller; the types it takes and gives are in seamlb/api.py.
 
 After Andersson, Nyberg and Kihl (2003): a controller tests (4) and (6) per core server, a gate gaps
 classes above their floors, a route takes the first choice or a weighted draw, guards keep the rules.
@@ -12,8 +12,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from cottonhinge import api
-from cottonhinge.api import Status
+from seamlb import api
+from seamlb.api import Status
 
 MARGIN = 0.9  # paper: f, the factor on the right side of (4) and (6) for level 1
 STREAK = 5  # paper: consecutive detections before a level changes, of all nodes: each sees its part
--- a/cottonhinge/wirehost.py
+++ b/seamlb/drill.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
-from cottonhinge import api
-from cottonhinge.choice import Controller
+from seamlb import api
+from seamlb.control import Controller
 
 BATCH = struct.Struct("<dIII")
 REPLY = struct.Struct("<III")
@@ -214,7 +214,7 @@
 
 
 def _malformed(name: str, position: int, reason: str) -> int:
-    print(f"cottonhinge: malformed {name} at byte {position}: {reason}", file=sys.stderr)
+    print(f"seamlb: malformed {name} at byte {position}: {reason}", file=sys.stderr)
     return 2
 
 
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -7,9 +7,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from cottonhinge import api
-from cottonhinge.choice import Controller
-from seamlb import log
+from seamlb import api, log
+from seamlb.control import Controller
 from seamlb.routing.model import Answer, Attempt, Caller, Desk, DeskClient, Outcome, Peers, Request
 
 
--- a/seamlb/routing/model.py
+++ b/seamlb/routing/model.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from cottonhinge.api import Availability, Scope, Status
+from seamlb.api import Availability, Scope, Status
 
 __all__ = [
     "Answer", "Attempt", "Availability", "Caller", "Desk", "DeskClient", "Heard", "Membership", "Outcome", "Peers",
--- a/tests/support.py
+++ b/tests/support.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from cottonhinge import api
-from cottonhinge.choice import Controller
+from seamlb import api
+from seamlb.control import Controller
 
 RAW: dict[str, Any] = {
     "Az": 0,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from cottonhinge import api
-from cottonhinge.wirehost import Host, encode
+from seamlb import api
+from seamlb.drill import Host, encode
 from tests.support import RAW
 
 BEGIN_BODY = json.dumps(RAW | {"Unheard": 1}).encode()
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from cottonhinge import api
-from cottonhinge.choice import FLOORS, RECOVER_MS, STEP_MS, STREAK, Controller, Core, holds
+from seamlb import api
+from seamlb.control import FLOORS, RECOVER_MS, STEP_MS, STREAK, Controller, Core, holds
 from tests.support import demand, ended, entry, listed, sent_to, settings
 
 LIMITS = (100.0, 400.0, 1000.0)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -12,6 +12,6 @@
 
 
 def test_module_keeps_its_size() -> None:
-    lines = (ROOT / "cottonhinge" / "choice.py").read_text().splitlines()
+    lines = (ROOT / "seamlb" / "control.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 400
     assert max(map(len, lines)) <= 110
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,9 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cottonhinge import api
-from cottonhinge.api import Availability, Scope, Status
-from cottonhinge.choice import Controller
+from seamlb import api
+from seamlb.api import Availability, Scope, Status
+from seamlb.control import Controller
 from tests.support import demand, ended, entry, listed, sent_to
 from tests.support import settings as make_settings
 
