Match a desk's answers by Call-ID alone, so that second attempts stand

Every call with a time-out had been refused by its first desk and answered by the second within 70 ms; desks write 'CSeq: 1 INVITE' whatever number the set-up carried. Ruled out: CPU (0.36 s in the worst second), lateness (1 ms to the first attempt), reports (named as in the settings), the list.

--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -266,12 +266,12 @@
         return leg
 
     def _request(self, method: str, attempt: Attempt, *extra: tuple[str, str], body: bytes = b"") -> Message:
-        return self._named(method, attempt.request.ident, attempt.request.number, attempt.leg, *extra, body=body)
+        return self._named(method, attempt.request.ident, attempt.request.number, *extra, body=body)
 
     def _named(
-        self, method: str, ident: str, number: str, leg: int, *extra: tuple[str, str], body: bytes = b""
+        self, method: str, ident: str, number: str, *extra: tuple[str, str], body: bytes = b""
     ) -> Message:
-        sequence = 2 * leg + (2 if method == "BYE" else 1)
+        sequence = 2 if method == "BYE" else 1
         headers = [
             ("Via", f"SIP/2.0/TCP seamlb;branch=z9hG4bK{ident}-{sequence}"), ("Call-ID", ident),
             ("CSeq", f"{sequence} {method}"), *extra,
@@ -310,28 +310,22 @@
         elif message.method == "OPTIONS":
             connection.send(response(message, 200).encode())
         elif message.status >= 200 and message.cseq()[1] == "INVITE":
-            sequence = message.cseq()[0]
-            ours = leg if leg and 2 * leg.attempt.leg + 1 == sequence else None
-            self._ack(connection, ident, sequence)
+            # A desk answers by Call-ID and method alone: the number in CSeq is its own. Matching by it had
+            # every answer to a second attempt taken down as one that crossed our CANCEL.
+            connection.send(self._named("ACK", ident, "call").encode())
             if message.status < 300:
-                self._answered(connection, ident, sequence, ours, message)
-            elif ours and not ours.stands:
+                self._answered(connection, ident, leg, message)
+            elif leg and not leg.stands:
                 self._over(key)
-                ours.heard(ours.attempt.leg, Outcome(
+                leg.heard(leg.attempt.leg, Outcome(
                     STATUSES.get(message.status, Status.ERROR), NOTES.get(message.get("x-diagnosis"), 0),
                     parse_report(message.get("x-occupancy"), self.fields),
                 ))
 
-    def _ack(self, connection: Connection, ident: str, sequence: int) -> None:
-        ack = self._named("ACK", ident, "call", (sequence - 1) // 2)
-        connection.send(ack.encode())
-
-    def _answered(
-        self, connection: Connection, ident: str, sequence: int, leg: Leg | None, message: Message
-    ) -> None:
+    def _answered(self, connection: Connection, ident: str, leg: Leg | None, message: Message) -> None:
         if leg is None:
             # The answer crossed our CANCEL: nobody waits for it, so it is taken down, never passed on.
-            bye = self._named("BYE", ident, "call", (sequence - 1) // 2, ("Reason", f"Q.850;cause={NORMAL}"))
+            bye = self._named("BYE", ident, "call", ("Reason", f"Q.850;cause={NORMAL}"))
             connection.send(bye.encode())
         elif not leg.stands:
             leg.stands = True
--- /dev/null
+++ b/seamlb/fronts/sip.py
@@ -0,0 +1,299 @@
+"""The sip front: the caller's side of a B2BUA over UDP and TCP, on the same core as the platform's front."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import secrets
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+
+from seamlb import log
+from seamlb.protocol.dialog import Dialog, Resender
+from seamlb.protocol.report import parse_figures
+from seamlb.protocol.sip import Message, digits, parameter, response
+from seamlb.routing.agent import Agent, Life
+from seamlb.routing.model import Request
+from seamlb.sip.endpoint import Entry, Flow, SipEndpoint, uri_target
+
+ALLOWED = ("INVITE", "ACK", "CANCEL", "BYE", "OPTIONS")
+ALLOW = ("Allow", ", ".join(ALLOWED))
+NORMAL = 16
+
+
+@dataclass(slots=True, frozen=True)
+class SipFrontConfig:
+    """Where the front listens, and the headers that describe a call with what stands in for them."""
+
+    udp: str = ""
+    tcp: str = ""
+    class_header: str = "X-Cos"
+    tenant_header: str = "X-Operator"
+    deadline_header: str = "X-Timer-Ms"
+    figures_header: str = "X-Legs"
+    default_class: str = ""
+    default_tenant: str = ""
+    default_deadline_ms: float = 0.0  # 0: the class's own deadline
+    destinations: Mapping[str, int] = field(default_factory=dict)  # class: its first-choice pool
+    connections: int = 256
+
+
+class BadCall(Exception):
+    """A call that can't be taken; its text tells the caller why."""
+
+
+Classify = Callable[[Request], Request]
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One INVITE, then its dialog; the caller of a request as the core sees it."""
+
+    front: SipFront
+    invite: Message
+    entry: Entry
+    flow: Flow
+    tag: str
+    life: Life | None = None
+    dialog: Dialog | None = None
+    resender: Resender | None = None
+    timer: asyncio.TimerHandle | None = None
+    answered: bool = False
+    release: int | None = None  # cause of a release that waits for the ACK
+
+    def respond(self, status: int, *extra: tuple[str, str], body: bytes = b"") -> None:
+        self.answered = status >= 200
+        if self.answered:
+            self.front.pending.pop(self.entry.key, None)
+        answer = response(self.invite, status, *extra, body=body, tag=self.tag if status > 100 else "")
+        self.front.endpoint.respond(self.entry, answer)
+
+    def stands(self, description: bytes) -> bool:
+        """200 with the desk's description, byte for byte; resent until the ACK."""
+        if self.answered:
+            return False
+        now = asyncio.get_running_loop().time()
+        extra = [("Record-Route", one) for one in self.invite.all("record-route")]
+        extra += [("Contact", self.front.endpoint.contact(self.flow.transport)), ALLOW]
+        if description:
+            extra.append(("Content-Type", self.invite.get("content-type") or "application/sdp"))
+        answer = response(self.invite, 200, *extra, body=description, tag=self.tag)
+        self.dialog = Dialog.of_server(self.invite, self.tag)
+        self.front.dialogs[self.dialog.key] = self
+        self.resender = Resender(answer, now)
+        self.answered = True
+        self.front.pending.pop(self.entry.key, None)
+        self.front.endpoint.respond(self.entry, answer)
+        self.timer = asyncio.get_running_loop().call_at(self.resender.due, self._resend)
+        return True
+
+    def _resend(self) -> None:
+        loop = asyncio.get_running_loop()
+        assert self.resender is not None
+        if again := self.resender.poll(loop.time() + 0.001):
+            self.front.endpoint.respond(self.entry, again)
+        elif self.resender.expired(loop.time() + 0.001):
+            # No ACK ever came: the call is taken down (13.3.1.4).
+            log.event("no_ack", kind="sip", call=self.invite.get("call-id"), how="timeout")
+            self.timer = None
+            self.front.left(self, NORMAL)
+            return self._bye(self.release if self.release is not None else NORMAL)
+        self.timer = loop.call_at(self.resender.due, self._resend)
+
+    def acked(self) -> None:
+        """The ACK of our 200: no more copies, and a release that waited for it may go."""
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+            if self.release is not None:
+                self._bye(self.release)
+
+    def refused(self, back_off_ms: float) -> None:
+        extra = [("Retry-After", str(math.ceil(back_off_ms / 1000.0)))] if back_off_ms > 0 else []
+        self._final(503, *extra)
+
+    def failed(self) -> None:
+        self._final(500)
+
+    def _final(self, status: int, *extra: tuple[str, str]) -> None:
+        if not self.answered:  # a CANCEL may have brought its 487 already
+            self.respond(status, *extra)
+
+    def released(self, cause: int) -> None:
+        if self.timer:
+            self.release = cause  # a BYE may not go before the ACK has come (15)
+        else:
+            self._bye(cause)
+
+    def _bye(self, cause: int) -> None:
+        dialog, self.dialog = self.dialog, None
+        if dialog is None:
+            return
+        self.front.dialogs.pop(dialog.key, None)
+        endpoint, transport = self.front.endpoint, self.flow.transport
+        bye = dialog.request("BYE", endpoint.via(transport), ("Reason", f"Q.850;cause={cause}"))
+        ident = self.invite.get("call-id")
+        try:
+            target = uri_target(dialog.next_hop(), transport)
+        except ValueError as error:
+            return log.event("bad_target", kind="sip", call=ident, error=str(error))
+        if self.flow.connection and self.flow.connection.closed is False and target.transport == "TCP":
+            # The caller's own connection still works: it may not be reachable any other way.
+            endpoint.adopt(target.address, self.flow.connection)
+        endpoint.request(bye, target, lambda answer: None, lambda how: log.event("no_bye", call=ident, how=how))
+
+    def over(self) -> None:
+        """The caller has released: the dialog ends here."""
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        if self.dialog:
+            self.front.dialogs.pop(self.dialog.key, None)
+            self.dialog = None
+
+
+class SipFront:
+    """Takes SIP calls for the core."""
+
+    def __init__(
+        self, agent: Agent, config: SipFrontConfig, tenants: Sequence[str], classify: Classify | None = None
+    ) -> None:
+        self.agent = agent
+        self.config = config
+        self.classify = classify
+        self.endpoint = SipEndpoint("sip", config.connections)
+        self.endpoint.on_request = self._request
+        self.endpoint.on_ack = self._ack
+        self.classes = {kind.name: place for place, kind in enumerate(agent.settings.classes)}
+        self.tenants = {name: place for place, name in enumerate(tenants)}
+        self.pending: dict[tuple[str, ...], Call] = {}
+        self.dialogs: dict[tuple[str, str, str], Call] = {}
+        self.draining = False
+
+    async def start(self) -> None:
+        await self.endpoint.listen(self.config.udp, self.config.tcp)
+
+    def drain(self) -> None:
+        self.draining = True
+
+    def stop_listening(self) -> None:
+        self.endpoint.stop_listening()
+
+    def close(self) -> None:
+        self.endpoint.close()
+
+    # -- requests -----------------------------------------------------------------------------
+
+    def _request(self, message: Message, entry: Entry, flow: Flow) -> None:
+        refusal = self._check(message)
+        if refusal:
+            return self._respond(message, entry, *refusal)
+        match message.method:
+            case "CANCEL":
+                self._cancel(message, entry)
+            case "OPTIONS" if not parameter(message.get("to"), "tag"):
+                self._respond(message, entry, 503 if self.draining else 200, ALLOW, ("Accept", "application/sdp"))
+            case "INVITE" if not parameter(message.get("to"), "tag"):
+                self._invite(message, entry, flow)
+            case _:
+                self._inside(message, entry)
+
+    def _check(self, message: Message) -> tuple[int, *tuple[tuple[str, str], ...]] | None:
+        """What 8.2 and 16.3 have refused before anything else is looked at."""
+        if message.method not in ALLOWED:
+            return 405, ALLOW
+        scheme = message.uri.partition(":")[0].lower()
+        if scheme not in ("sip", "sips"):
+            return (416,)
+        hops = message.get("max-forwards", "70")
+        if not digits(hops):
+            return (400,)
+        if int(hops) == 0 and message.method == "INVITE":
+            return (483,)
+        if message.method != "CANCEL" and (needed := message.all("require")):
+            return 420, ("Unsupported", ", ".join(needed))
+        return None
+
+    def _respond(self, message: Message, entry: Entry, status: int, *extra: tuple[str, str]) -> None:
+        self.endpoint.respond(entry, response(message, status, *extra, tag=secrets.token_hex(4)))
+
+    def _cancel(self, message: Message, entry: Entry) -> None:
+        key = (*entry.key[:-1], "INVITE") if entry.key[0] != "2543" else ("",)
+        known = self.endpoint.servers.get(key)
+        if known is None:
+            return self._respond(message, entry, 481)
+        call = self.pending.get(key)
+        self.endpoint.respond(entry, response(message, 200, tag=call.tag if call else secrets.token_hex(4)))
+        if call:
+            call.respond(487)
+            self.left(call, NORMAL)
+
+    def _inside(self, message: Message, entry: Entry) -> None:
+        """A request inside a dialog, or one that pretends to be."""
+        to, sender = parameter(message.get("to"), "tag"), parameter(message.get("from"), "tag")
+        call = self.dialogs.get((message.get("call-id"), to, sender))
+        if call is None or call.dialog is None:
+            return self._respond(message, entry, 481)
+        if not call.dialog.accepts(message):
+            return self._respond(message, entry, 500)
+        if message.method == "INVITE":
+            return self._respond(message, entry, 488)  # the description of a call that stands is the desk's
+        self._respond(message, entry, 200)
+        if message.method == "BYE":
+            call.over()
+            cause = parameter(message.get("reason"), "cause")
+            self.left(call, int(cause) if digits(cause) else NORMAL)
+
+    def _ack(self, message: Message) -> None:
+        to, sender = parameter(message.get("to"), "tag"), parameter(message.get("from"), "tag")
+        if call := self.dialogs.get((message.get("call-id"), to, sender)):
+            call.acked()
+
+    def left(self, call: Call, cause: int) -> None:
+        if call.life:
+            self.agent.caller_left(call.life, cause)
+
+    # -- a new call ---------------------------------------------------------------------------
+
+    def _invite(self, message: Message, entry: Entry, flow: Flow) -> None:
+        from_tag = parameter(message.get("from"), "tag")
+        for other in self.pending.values():  # 8.2.2.2: the same call by another way
+            same = other.invite.get("call-id") == message.get("call-id") and other.invite.cseq() == message.cseq()
+            if same and parameter(other.invite.get("from"), "tag") == from_tag:
+                return self._respond(message, entry, 482)
+        call = Call(self, message, entry, flow, secrets.token_hex(8))
+        call.respond(100)
+        try:
+            request = self._read(message, call.tag)
+        except BadCall as bad:
+            return call.respond(400, ("Warning", f'399 seamlb "{bad}"'))
+        self.pending[entry.key] = call
+        call.life = self.agent.take(request, call)
+
+    def _read(self, message: Message, ident: str) -> Request:
+        config = self.config
+        name = message.get(config.class_header.lower()) or config.default_class
+        if name not in self.classes:
+            raise BadCall("unknown class")
+        tenant = message.get(config.tenant_header.lower()) or config.default_tenant
+        if tenant and tenant not in self.tenants:
+            raise BadCall("unknown tenant")
+        timer = message.get(config.deadline_header.lower())
+        if timer and not digits(timer):
+            raise BadCall(f"{config.deadline_header} is no number of milliseconds")
+        kind = self.agent.settings.classes[self.classes[name]]
+        figures = parse_figures(message.get(config.figures_header.lower()))
+        usual = config.destinations.get(name, min(kind.pools) if kind.pools else 0)
+        request = Request(
+            ident=ident, call_class=self.classes[name], class_name=name, tenant=self.tenants.get(tenant, 0),
+            number=message.uri.partition(":")[2].partition("@")[0],
+            patience_ms=float(timer or config.default_deadline_ms or kind.deadline),
+            destination=int(figures.get("dest", usual)), slots=figures.get("width", kind.width),
+            via=int(figures.get("via", -1)), cut_before=figures.get("again", 0) > 0, description=message.body,
+        )
+        if self.classify is None:
+            return request
+        changed = self.classify(request)
+        if changed.class_name not in self.classes:
+            raise BadCall("unknown class")
+        return replace(changed, call_class=self.classes[changed.class_name])
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,199 @@
+"""Stories of the platform's front and desk client over loopback."""
+
+import asyncio
+
+from seamlb import api
+from tests.loopback import SDP, ScriptedDesk, Story, bye, invite, plain, refuse, silent
+
+ID = "00000000000000a1"
+
+
+class Calls(Story):
+    async def test_a_call_stands_and_its_release_reaches_the_caller(self) -> None:
+        desk = ScriptedDesk()
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        stands = await caller.until(200)
+        self.assertEqual(stands.body, SDP)
+        sent = await desk.until("INVITE")
+        self.assertEqual((sent.body, sent.get("x-cos"), sent.uri), (b"offer", "a", "sip:1234@net"))
+        self.assertLessEqual(int(sent.get("x-timer-ms")), 3000)
+        await desk.until("ACK")
+        desk.peers[0].send(bye(ID, 16))
+        self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
+        await self.eventually(lambda: self.events("call_end"))
+        self.assertEqual(self.events("call_end")[0]["result"], "stood")
+
+    async def test_an_answer_to_a_second_attempt_stands_though_its_cseq_is_the_desks_own(self) -> None:
+        full, free = ScriptedDesk(refuse(503, ("X-Diagnosis", "atb"))), ScriptedDesk()
+        await self.start(full, free)
+        caller = await self.caller()
+        caller.send(invite(dest=0))
+        self.assertEqual((await caller.until(200)).body, SDP)
+        await full.until("ACK")
+        await free.until("ACK")
+        self.assertTrue(free.seen.empty(), "a BYE would have taken the call down")
+
+    async def test_statuses_become_outcomes(self) -> None:
+        for status, note, ends in (
+            (503, "acc", (api.Status.FULL, 3)), (486, "sub", (api.Status.ERROR, 4)),
+            (500, "", (api.Status.ERROR, 0)), (480, "atb", (api.Status.MOOT, 1)), (504, "", (api.Status.RESET, 0)),
+        ):
+            with self.subTest(status=status):
+                daemon = await self.start(ScriptedDesk(refuse(status, ("X-Diagnosis", note))))
+                seen: list[api.Event] = []
+                handle = daemon.agent.module.handle
+                daemon.agent.module.handle = lambda now, e, h=handle, s=seen: s.append(e) or h(now, e)
+                caller = await self.caller()
+                caller.send(invite())
+                self.assertEqual((await caller.until(503)).status, 503)
+                (ended,) = [one for one in seen if isinstance(one, api.Ended)]
+                self.assertEqual((ended.status, ended.note), ends)
+
+    async def test_an_answer_that_crosses_our_cancel_is_acked_and_released(self) -> None:
+        desk = ScriptedDesk(silent)
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite(timer=50))
+        sent = await desk.until("INVITE")
+        self.assertEqual((await caller.until(503)).status, 503)
+        await desk.until("CANCEL")
+        await ScriptedDesk().script(desk.peers[0], sent)
+        await desk.until("ACK")
+        await desk.until("BYE")
+
+    async def test_a_caller_that_gives_up_cancels_the_attempt(self) -> None:
+        desk = ScriptedDesk(silent)
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        await desk.until("INVITE")
+        caller.send(plain("CANCEL"))
+        await desk.until("CANCEL")
+        await self.eventually(lambda: self.events("call_end"))
+        self.assertEqual(self.events("call_end")[0]["result"], "left")
+
+    async def test_a_release_by_the_caller_on_another_connection_cuts_the_call(self) -> None:
+        desk = ScriptedDesk()
+        await self.start(desk)
+        first, second = await self.caller(), await self.caller()
+        first.send(invite())
+        await first.until(200)
+        first.close()
+        second.send(plain("BYE", ID, ("Reason", "Q.850;cause=16")))
+        await second.until(200)
+        await desk.until("BYE")
+
+    async def test_a_release_waits_for_the_next_connection(self) -> None:
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        first = await self.caller()
+        first.send(invite())
+        await first.until(200)
+        first.close()
+        await self.eventually(lambda: not daemon.front.clients)
+        desk.peers[0].send(bye(ID, 41))
+        await self.eventually(lambda: daemon.front.releases)
+        self.assertIn("cause=41", (await (await self.caller()).until("BYE")).get("reason"))
+
+    async def test_the_release_of_a_call_from_before_a_restart_is_passed_on(self) -> None:
+        desk = ScriptedDesk()
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(plain("OPTIONS", "t"))
+        await caller.until(200)
+        desk.peers[0].send(bye("feedfeedfeedfeed", 16))
+        self.assertEqual((await caller.until("BYE")).get("call-id"), "feedfeedfeedfeed")
+
+
+class Desks(Story):
+    async def test_a_connection_lost_before_the_answer_is_a_reset_and_the_call_goes_on(self) -> None:
+        async def breaks(peer, _invite):
+            peer.reset()
+
+        bad, good = ScriptedDesk(breaks), ScriptedDesk()
+        await self.start(bad, good)
+        caller = await self.caller()
+        caller.send(invite(dest=0))
+        self.assertEqual((await caller.until(200)).body, SDP)
+        await self.eventually(lambda: self.events("connection_end"))
+        self.assertEqual(self.events("connection_end")[0]["kind"], "desk")
+
+    async def test_a_refused_connection_cuts_what_stood_and_leaves_one_line(self) -> None:
+        desk = ScriptedDesk()
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        await caller.until(200)
+        await desk.stop()
+        self.assertIn("cause=41", (await caller.until("BYE")).get("reason"))
+        reasons = {one["reason"] for one in self.events("connection_end")}
+        self.assertIn("refused", reasons)
+
+    async def test_an_address_used_again_by_another_desk_gets_connections_of_its_own(self) -> None:
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        gone = self.desk(0, desk.address, api.Availability.GONE)
+        daemon.agent.list_changed(api.Scope.DELTA, [gone, self.desk(7, desk.address)])
+        await self.eventually(lambda: len(desk.peers) == 2)
+        self.assertEqual(list(daemon.desks.links), ["d7"])
+        self.warm(daemon, 1)
+        caller = await self.caller()
+        caller.send(invite(dest=7))
+        await caller.until(200)
+
+    async def test_nothing_new_goes_to_a_desk_that_drains(self) -> None:
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        drains = self.desk(0, desk.address, api.Availability.DRAINING)
+        daemon.agent.list_changed(api.Scope.DELTA, [drains])
+        caller = await self.caller()
+        caller.send(invite())
+        await caller.until(503)
+        self.assertTrue(desk.seen.empty())
+
+
+class BadInput(Story):
+    async def test_bad_messages_get_a_definite_answer(self) -> None:
+        await self.start(ScriptedDesk())
+        caller = await self.caller()
+        for bad, status in (
+            (invite(kind="nobody"), 400), (plain("PUBLISH"), 405), (plain("BYE", "unknown"), 481),
+            (b"INVITE sip:1@net SIP/2.0\r\nVia: x\r\nCall-ID: 1\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n", 400),
+            (b"INVITE sip:1@net SIP/3.0\r\nVia: x\r\nCall-ID: 1\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n", 505),
+        ):
+            caller.send(bad)
+            self.assertEqual((await caller.next()).status, status)
+        self.assertEqual(self.events("fault"), [])
+
+    async def test_what_cannot_be_read_further_ends_the_connection_with_its_reason(self) -> None:
+        daemon = await self.start(ScriptedDesk())
+        head = b"INVITE sip:1@net SIP/2.0\r\nVia: x\r\nCall-ID: 1\r\nCSeq: 1 INVITE\r\n"
+        for bad, status in (
+            (head + b"Content-Length: -5\r\n\r\n", 400), (head + b"Content-Length: 99999\r\n\r\n", 513),
+            (head + b"\r\n", 400), (b"A" * 20000, 0), (b"\xff\xfe\r\n\r\n", 0),
+        ):
+            caller = await self.caller()
+            caller.send(bad)
+            if status:
+                self.assertEqual((await caller.next()).status, status)
+            with self.assertRaises(EOFError):
+                await caller.next()
+        await self.eventually(lambda: not daemon.front.clients)
+        ends = [one["reason"] for one in self.events("connection_end")]
+        self.assertEqual(ends, ["malformed"] * 5)
+        self.assertEqual(self.events("fault"), [])
+
+    async def test_a_set_up_sent_twice_is_one_attempt(self) -> None:
+        desk = ScriptedDesk(silent)
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        caller.send(invite())
+        self.assertEqual((await caller.next()).status, 482)
+        await desk.until("INVITE")
+        caller.send(plain("CANCEL"))
+        await desk.until("CANCEL")
+        await asyncio.sleep(0)
+        self.assertTrue(desk.seen.empty())
