Add the sip front and sip desk client: UDP and TCP on one core, off by default

Transactions and dialogs are state machines without input or output; the endpoint binds them to sockets. Also here: Consul membership, the hook, the plug-ins file they are read from; the board polls through the shared poller.

--- a/seamlb/cli.py
+++ b/seamlb/cli.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 
 import click
 
 from seamlb import __version__, config
 from seamlb.daemon import Daemon
+from seamlb.hook import Hook, HookError
 
 CONFIG = click.option(
     "--config", "path", envvar="GW_CONFIG", required=True, metavar="FILE",
@@ -16,12 +18,25 @@
 )
 
 
-def _load(path: str, listen: str = "", name: str = "") -> config.Config:
+PLUGINS = click.option(
+    "--plugins", envvar="SEAMLB_PLUGINS", default="", metavar="FILE",
+    help="A TOML file of plug-ins: sip front, sip desks, Consul, hook. Without it all are off.",
+)
+
+
+def _daemon(path: str, plugins: str, listen: str = "", name: str = "") -> Callable[[], Daemon]:
+    """A daemon from checked files; one line and exit code 2 if they can't be used."""
     try:
-        return config.load(path, listen, name)
-    except config.ConfigError as error:
+        loaded = config.load(path, listen, name)
+        extras = config.load_plugins(plugins, loaded) if plugins else config.Plugins()
+        if not loaded.listen and not extras.sip:
+            raise config.ConfigError(f"{path}: listen: missing, and no sip front is on")
+        if extras.hook:
+            Hook(extras.hook)
+    except (config.ConfigError, HookError) as error:
         click.echo(f"seamlb: {error}", err=True)
         sys.exit(2)
+    return lambda: Daemon(loaded, extras)
 
 
 @click.group(invoke_without_command=True)
@@ -34,28 +49,30 @@
 
 @main.command()
 @CONFIG
+@PLUGINS
 @click.option("--listen", envvar="GW_LISTEN", default="", metavar="HOST:PORT", help="Where callers connect.")
 @click.option("--name", envvar="GW_NAME", default="", help="This agent's name in its logs.")
-def serve(path: str, listen: str, name: str) -> None:
+def serve(path: str, plugins: str, listen: str, name: str) -> None:
     """Serve calls until SIGTERM."""
-    loaded = _load(path, listen, name)
+    build = _daemon(path, plugins, listen, name)
 
     async def run() -> None:
-        await Daemon(loaded).run()
+        await build().run()
 
     try:
         asyncio.run(run())
-    except OSError as error:
+    except OSError as error:  # an address that can't be bound
         click.echo(f"seamlb: {error}", err=True)
         sys.exit(1)
 
 
 @main.command("check-config")
 @CONFIG
-def check_config(path: str) -> None:
-    """Check a configuration and say what it holds."""
-    loaded = _load(path)
-    click.echo(f"{path}: ok, {loaded.name} on {loaded.listen}, {len(loaded.settings.classes)} classes")
+@PLUGINS
+def check_config(path: str, plugins: str) -> None:
+    """Check the configuration, and the plug-ins' file if one is named."""
+    _daemon(path, plugins)
+    click.echo(f"{path}: ok")
 
 
 @main.command()
--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import orjson
 
 from seamlb import api
+from seamlb.fronts.sip import SipFrontConfig
+from seamlb.membership.consul import ConsulConfig
 from seamlb.net.connection import split_address
 from seamlb.protocol.notices import parse_notices
 
+T = TypeVar("T")
+
 
 class ConfigError(Exception):
     """A configuration that can't be used; its text is one line for the operator."""
@@ -65,15 +70,16 @@
     bounds = settings.get("Limits") or {}
     if raw.get("known"):
         parse_notices(raw["known"])
-    addresses = {"listen": listen or raw["listen"], **{k: raw[k] for k in ("board", "peer_listen") if raw.get(k)}}
+    told = {"listen": listen or raw.get("listen"), "board": raw.get("board"), "peer_listen": raw.get("peer_listen")}
+    addresses = {key: str(address) for key, address in told.items() if address}
     for key, address in addresses.items():
         try:
             split_address(address)
-        except (ValueError, AttributeError):
+        except ValueError:
             raise ValueError(f"{key}: not host:port: {address!r}") from None
     return Config(
         name=name or str(raw.get("name", "seamlb")),
-        listen=addresses["listen"],
+        listen=addresses.get("listen", ""),
         seed=int(str(raw.get("seed", "0")), 16),
         sockets=int(limits.get("sockets", 1024)),
         peer_listen=addresses.get("peer_listen", ""),
@@ -88,3 +94,81 @@
         idle_close=float(bounds.get("IdleClose", 600000.0)) / 1000.0,
         max_open=int(bounds.get("MaxOpen", 20000)),
     )
+
+
+@dataclass(slots=True, frozen=True)
+class SipDesksConfig:
+    """Where the desk side of the sip front listens, and how desks are reached."""
+
+    transport: str = "udp"
+    udp: str = ""
+    tcp: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Plugins:
+    """What is on beside the platform's front; each part is off unless its table is there."""
+
+    sip: SipFrontConfig | None = None
+    desks: SipDesksConfig | None = None
+    consul: ConsulConfig | None = None
+    hook: str = ""
+
+
+def load_plugins(path: str, config: Config) -> Plugins:
+    """Read and check a TOML file of plug-ins against the classes and tenants of the configuration."""
+    try:
+        raw = tomllib.loads(Path(path).read_text())
+        unknown = raw.keys() - {"sip", "desks", "consul", "hook"}
+        if unknown:
+            raise ValueError(f"unknown table {min(unknown)}")
+        sip, desks = _table(raw, "sip", SipFrontConfig), _table(raw, "desks", SipDesksConfig)
+        consul = _table(raw, "consul", ConsulConfig)
+        hook = str((raw.get("hook") or {}).get("file", ""))
+        _check_plugins(config, sip, desks, consul)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except (ValueError, TypeError, AttributeError) as error:  # TOML errors are ValueErrors
+        raise ConfigError(f"{path}: {error}".replace("\n", " ")) from None
+    return Plugins(sip, desks, consul, str(Path(path).parent / hook) if hook else "")
+
+
+def _table(raw: Mapping[str, Any], name: str, form: type[T]) -> T | None:
+    """One table as its dataclass: unknown keys and wrong types are named."""
+    table = raw.get(name)
+    if table is None:
+        return None
+    known = {one.name: one.type for one in fields(form)}  # type: ignore[arg-type]
+    for key, value in table.items():
+        if key not in known:
+            raise ValueError(f"{name}.{key}: unknown key")
+        kinds: dict[str, tuple[type, ...]] = {"str": (str,), "float": (int, float), "int": (int,)}
+        if isinstance(value, bool) or not isinstance(value, kinds.get(str(known[key]), (dict,))):
+            raise ValueError(f"{name}.{key}: wrong type: {value!r}")
+    return form(**table)
+
+
+def _check_plugins(
+    config: Config, sip: SipFrontConfig | None, desks: SipDesksConfig | None, consul: ConsulConfig | None
+) -> None:
+    addresses = {"consul.address": consul.address} if consul else {}
+    for name, table in (("sip", sip), ("desks", desks)):
+        if table:
+            addresses |= {f"{name}.udp": table.udp, f"{name}.tcp": table.tcp}
+            if not table.udp and not table.tcp:
+                raise ValueError(f"{name}: neither udp nor tcp is given")
+    for key, address in addresses.items():
+        if address:
+            try:
+                split_address(address)
+            except ValueError as error:
+                raise ValueError(f"{key}: {error}") from None
+    classes = {kind.name for kind in config.settings.classes}
+    if sip:
+        wrong = ({sip.default_class} - {""} | sip.destinations.keys()) - classes
+        if wrong:
+            raise ValueError(f"sip: unknown class {min(wrong)!r}")
+        if sip.default_tenant and sip.default_tenant not in config.tenants:
+            raise ValueError(f"sip.default_tenant: unknown tenant {sip.default_tenant!r}")
+    if desks and (desks.transport not in ("udp", "tcp") or not getattr(desks, desks.transport)):
+        raise ValueError(f"desks.transport: no address to send from: {desks.transport!r}")
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 
 from seamlb import __version__, log
-from seamlb.config import Config
+from seamlb.config import Config, Plugins
 from seamlb.desks.platform import PlatformDesks
+from seamlb.desks.sip import SipDesks
 from seamlb.fronts.platform import PlatformFront
+from seamlb.fronts.sip import SipFront
+from seamlb.hook import Hook
 from seamlb.membership.board import Board
+from seamlb.membership.consul import Consul
 from seamlb.net.connection import split_address
 from seamlb.net.datagram import Endpoint
 from seamlb.routing.agent import Agent
+from seamlb.routing.model import Membership, Request
+from seamlb.sip.endpoint import SipEndpoint
 
 KEEP_TAKING = 0.7  # seconds after SIGTERM in which requests still come
 CLIENT_SHARE = 0.6  # part of the descriptors that callers may hold; the platform says they take a third
@@ -47,54 +52,90 @@
 
 
 class Daemon:
-    """One call agent."""
+    """One call agent: the platform's parts, and the plug-ins that are on."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, plugins: Plugins | None = None) -> None:
         self.config = config
+        self.plugins = plugins = plugins or Plugins()
         settings = config.settings
-        self.agent = Agent(settings, config.seed, config.max_open)
+        self.hook = Hook(plugins.hook) if plugins.hook else None
+        self.agent = Agent(settings, config.seed, config.max_open, observe=self._observe if self.hook else None)
         self.front = PlatformFront(
             self.agent, config.listen, int(config.sockets * CLIENT_SHARE), config.tenants
         )
-        self.desks = PlatformDesks(
-            settings.fields, config.connect_timeout, config.idle_close, self.agent.sampled, self.front.release
-        )
+        self.sip: SipFront | None = None
+        if plugins.sip:
+            classify = self.hook.classify if self.hook else None
+            self.sip = SipFront(self.agent, plugins.sip, config.tenants, classify)
+        self.desks: PlatformDesks | SipDesks
+        if plugins.desks:
+            self.desks = SipDesks(SipEndpoint("desk"), plugins.desks.transport.upper(), settings.fields)
+        else:
+            self.desks = PlatformDesks(
+                settings.fields, config.connect_timeout, config.idle_close, self.agent.sampled, self.front.release
+            )
         self.agent.desks = self.desks
         self.board = Board(config.board, config.zones, self.agent.list_changed)
+        self.members: list[Membership] = [self.board] if config.board else []
+        if plugins.consul:
+            self.members.append(Consul(plugins.consul, config.zones, self.agent.list_changed, config.seed))
         self.peers: PeerLink | None = None
+        self.following: list[asyncio.Task[None]] = []
         self.term = asyncio.Event()
 
-    async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then drain."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.term.set)
-        if self.config.peer_listen and self.config.settings.limits.peers:
-            self.peers = PeerLink(self.config, self.agent)
+    def _observe(self, request: Request, result: str, attempts: int) -> None:
+        if self.hook:
+            self.hook.observe({
+                "call": request.ident, "class": request.class_name, "tenant": request.tenant_name,
+                "number": request.number, "result": result, "attempts": attempts,
+            })
+
+    async def start(self) -> None:
+        """Bind all addresses and follow the list of desks."""
+        config = self.config
+        if config.peer_listen and config.settings.limits.peers:
+            self.peers = PeerLink(config, self.agent)
             await self.peers.start()
             self.agent.peers = self.peers
-        if self.config.known:
-            self.board.known(self.config.known)
-        self.front.start()
-        following = loop.create_task(self.board.run()) if self.config.board else None
-        await asyncio.sleep(0)
+        if isinstance(self.desks, SipDesks) and self.plugins.desks:
+            await self.desks.endpoint.listen(self.plugins.desks.udp, self.plugins.desks.tcp)
+        if config.known:
+            self.board.known(config.known)
+        if config.listen:
+            self.front.start()
+        if self.sip:
+            await self.sip.start()
+        loop = asyncio.get_running_loop()
+        self.following = [loop.create_task(member.run()) for member in self.members]
         self.front.ready = True
-        log.event("serving", name=self.config.name, listen=self.config.listen, version=__version__)
-        await self.term.wait()
-        await self._drain(following)
+        log.event("serving", name=config.name, listen=config.listen, version=__version__)
 
-    async def _drain(self, following: asyncio.Task[None] | None) -> None:
-        """Keep taking for a while, answer all that was taken, then go."""
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain: keep taking, answer all that was taken, go."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, self.term.set)
+        await self.start()
+        await self.term.wait()
         log.event("draining", open=self.agent.unanswered)
         self.front.drain()
+        if self.sip:
+            self.sip.drain()
         await asyncio.sleep(KEEP_TAKING)
         self.front.stop_listening()
+        if self.sip:
+            self.sip.stop_listening()
         await self.agent.idle.wait()
-        if following:
-            following.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await following
+        await self.close()
+        log.event("ended", taken=self.agent.taken)
+
+    async def close(self) -> None:
+        """Let queued bytes out and close everything."""
+        for task in self.following:
+            task.cancel()
+        await asyncio.gather(*self.following, return_exceptions=True)
+        self.front.stop_listening()
         self.front.close()
+        if self.sip:
+            self.sip.close()
         self.desks.close()
-        await asyncio.sleep(0.05)  # lets queued bytes out
-        log.event("ended", taken=self.agent.taken)
+        await asyncio.sleep(0.05)
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -190,6 +190,7 @@
         figures = parse_figures(message.get("x-legs"))
         return Request(
             ident=ident, call_class=self.classes[name], class_name=name, tenant=self.tenants.get(tenant, 0),
+            tenant_name=tenant,
             number=rest.partition("@")[0], patience_ms=float(timer),
             destination=int(figures.get("dest", -1)), slots=figures.get("width", 1.0),
             via=int(figures.get("via", -1)), cut_before=figures.get("again", 0) > 0, description=message.body,
--- a/seamlb/fronts/sip.py
+++ b/seamlb/fronts/sip.py
@@ -6,7 +6,8 @@
 import math
 import secrets
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+from typing import Any
 
 from seamlb import log
 from seamlb.protocol.dialog import Dialog, Resender
@@ -42,7 +43,8 @@
     """A call that can't be taken; its text tells the caller why."""
 
 
-Classify = Callable[[Request], Request]
+# The hook: facts of a call, known classes and tenants; gives class and tenant.
+Classify = Callable[[dict[str, Any], Mapping[str, int], Mapping[str, int]], tuple[str, str]]
 
 
 @dataclass(slots=True, eq=False)
@@ -76,7 +78,7 @@
         extra = [("Record-Route", one) for one in self.invite.all("record-route")]
         extra += [("Contact", self.front.endpoint.contact(self.flow.transport)), ALLOW]
         if description:
-            extra.append(("Content-Type", self.invite.get("content-type") or "application/sdp"))
+            extra.append(("Content-Type", self.invite.get("content-type", "application/sdp")))
         answer = response(self.invite, 200, *extra, body=description, tag=self.tag)
         self.dialog = Dialog.of_server(self.invite, self.tag)
         self.front.dialogs[self.dialog.key] = self
@@ -264,18 +266,23 @@
         call = Call(self, message, entry, flow, secrets.token_hex(8))
         call.respond(100)
         try:
-            request = self._read(message, call.tag)
+            request = self._read(message, call.tag, flow.transport)
         except BadCall as bad:
             return call.respond(400, ("Warning", f'399 seamlb "{bad}"'))
         self.pending[entry.key] = call
         call.life = self.agent.take(request, call)
 
-    def _read(self, message: Message, ident: str) -> Request:
+    def _read(self, message: Message, ident: str, transport: str) -> Request:
         config = self.config
         name = message.get(config.class_header.lower()) or config.default_class
+        tenant = message.get(config.tenant_header.lower()) or config.default_tenant
+        number = message.uri.partition(":")[2].partition("@")[0]
+        if self.classify is not None:
+            facts = {"class": name, "tenant": tenant, "number": number, "transport": transport,
+                     "headers": {key.lower(): value for key, value in message.headers}}
+            name, tenant = self.classify(facts, self.classes, self.tenants)
         if name not in self.classes:
             raise BadCall("unknown class")
-        tenant = message.get(config.tenant_header.lower()) or config.default_tenant
         if tenant and tenant not in self.tenants:
             raise BadCall("unknown tenant")
         timer = message.get(config.deadline_header.lower())
@@ -284,16 +291,11 @@
         kind = self.agent.settings.classes[self.classes[name]]
         figures = parse_figures(message.get(config.figures_header.lower()))
         usual = config.destinations.get(name, min(kind.pools) if kind.pools else 0)
-        request = Request(
+        return Request(
             ident=ident, call_class=self.classes[name], class_name=name, tenant=self.tenants.get(tenant, 0),
-            number=message.uri.partition(":")[2].partition("@")[0],
+            tenant_name=tenant, number=number,
             patience_ms=float(timer or config.default_deadline_ms or kind.deadline),
             destination=int(figures.get("dest", usual)), slots=figures.get("width", kind.width),
             via=int(figures.get("via", -1)), cut_before=figures.get("again", 0) > 0, description=message.body,
+            description_type=message.get("content-type") or "application/sdp",
         )
-        if self.classify is None:
-            return request
-        changed = self.classify(request)
-        if changed.class_name not in self.classes:
-            raise BadCall("unknown class")
-        return replace(changed, call_class=self.classes[changed.class_name])
--- a/seamlb/membership/board.py
+++ b/seamlb/membership/board.py
@@ -9,15 +9,13 @@
 import orjson
 
 from seamlb import log
-from seamlb.net.connection import ConnectFailed, Connection, connect
+from seamlb.membership.poller import Poller, PollFailed
 from seamlb.net.reason import CloseReason
-from seamlb.protocol.http import HttpError, Response, ResponseReader, get
 from seamlb.protocol.notices import Notice, NoticeError, parse_notices
 from seamlb.routing.model import Availability, Desk, Scope
 
 LINGER = 2.0  # seconds that the board may wait for news
 SILENCE = 1.5  # seconds beyond that before a poll counts as silent; a drain must be known within 7 s
-CONNECT_TIMEOUT = 1.0
 RETRY_FIRST, RETRY_MOST = 0.1, 1.0
 PHASES = {"Ready": Availability.READY, "Terminating": Availability.DRAINING, "Gone": Availability.GONE}
 
@@ -58,59 +56,24 @@
 
     async def run(self) -> None:
         """Poll until cancelled; a connection that ends or falls silent is opened anew."""
+        poller = Poller(self.address, "board")
         pause = 0.0
-        while True:
-            await asyncio.sleep(pause)
-            pause = min(max(2 * pause, RETRY_FIRST), RETRY_MOST)
-            try:
-                connection = await connect(self.address, "board", CONNECT_TIMEOUT)
-            except ConnectFailed:
-                continue
-            if await self._follow(connection):
-                pause = 0.0
-
-    async def _follow(self, connection: Connection) -> bool:
-        """Poll on one connection until it ends; did it bring anything?"""
-        answers: asyncio.Queue[Response] = asyncio.Queue()
-        reader = ResponseReader()
-
-        def received(data: bytes) -> None:
-            try:
-                answer = reader.feed(data)
-                while answer:
-                    answers.put_nowait(answer)
-                    answer = reader.feed(b"")
-            except HttpError as error:
-                log.event("malformed", kind="board", error=str(error))
-                connection.close(CloseReason.MALFORMED)
-
-        reading = asyncio.get_running_loop().create_task(connection.run(received))
-        served = False
         try:
-            while not connection.closed:
+            while True:
+                await asyncio.sleep(pause)
+                pause = min(max(2 * pause, RETRY_FIRST), RETRY_MOST)
                 path = f"/board/poll?watch={self.rev}&linger={int(LINGER * 1000)}"
-                connection.send(get(path, self.address))
-                taking = asyncio.get_running_loop().create_task(answers.get())
-                done, _ = await asyncio.wait(
-                    (taking, reading), timeout=LINGER + SILENCE, return_when=asyncio.FIRST_COMPLETED
-                )
-                if taking not in done:
-                    taking.cancel()
-                    connection.close(CloseReason.SILENT)
-                    break
-                answer = taking.result()
-                if answer.status != 200:
-                    log.event("board_status", status=answer.status)
-                    connection.close(CloseReason.ERROR)
-                    break
-                self.known(orjson.loads(answer.body))
-                served = True
-                if not answer.keeps:
-                    connection.close(CloseReason.PEER_CLOSED)
-        except (NoticeError, orjson.JSONDecodeError) as error:
-            log.event("malformed", kind="board", error=str(error))
-            connection.close(CloseReason.MALFORMED)
+                try:
+                    answer = await poller.get(path, LINGER + SILENCE)
+                    if answer.status != 200:
+                        raise NoticeError(f"status {answer.status}")
+                    self.known(orjson.loads(answer.body))
+                except PollFailed:
+                    continue
+                except (NoticeError, orjson.JSONDecodeError) as error:
+                    log.event("malformed", kind="board", error=str(error))
+                    poller.close(CloseReason.MALFORMED)
+                    continue
+                pause = 0.0
         finally:
-            connection.close(CloseReason.SHUTDOWN)
-            reading.cancel()
-        return served
+            poller.close(CloseReason.SHUTDOWN)
--- a/seamlb/protocol/transaction.py
+++ b/seamlb/protocol/transaction.py
@@ -171,7 +171,8 @@
     def _ack(self, answer: Message) -> Message:
         """17.1.1.3: the ACK of a refusal is part of the transaction."""
         headers = [("Via", self.request.all("via")[0])]
-        headers += [(n, v) for n, v in self.request.headers if n.lower() in ("route", "max-forwards", "from", "call-id")]
+        copied = ("route", "max-forwards", "from", "call-id")
+        headers += [(name, value) for name, value in self.request.headers if name.lower() in copied]
         headers += [("To", answer.get("to")), ("CSeq", f"{self.request.cseq()[0]} ACK")]
         return Message("ACK", self.request.uri, headers=headers)
 
--- a/seamlb/routing/model.py
+++ b/seamlb/routing/model.py
@@ -29,6 +29,8 @@
     via: int = -1
     cut_before: bool = False
     description: bytes = b""
+    description_type: str = "application/sdp"
+    tenant_name: str = ""
     sent_ms_ago: float = 0.0
 
 
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -174,6 +174,12 @@
         if isinstance(entry.machine, (ServerInvite, ServerOther)):
             self._carry(entry, entry.machine.respond(message, self._now()))
 
+    def cancelled(self, entry: Entry) -> None:
+        """A CANCEL went out for this INVITE of ours."""
+        if isinstance(entry.machine, ClientInvite):
+            entry.machine.cancelled(self._now())
+            self._settle(entry)
+
     def transmit(
         self, message: Message, target: Target, broken: Callable[[str], None] = lambda how: None,
         carried: Callable[[Connection], None] = lambda connection: None,
