--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,52 @@
+"""Imports point downwards only."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent / "seamlb"
+WIRES = {"log", "net", "protocol", "sip", "routing"}
+ALLOWED = {
+    "log": set(), "net": {"log"}, "protocol": set(),
+    "api": set(), "control": {"api"}, "drill": {"api", "control"},
+    "routing": {"api", "control", "log"},
+    "sip": {"log", "net", "protocol"},
+    "fronts": WIRES, "desks": WIRES, "membership": WIRES,
+    "hook": {"log"},
+    "config": {"api", "fronts", "membership", "net", "protocol"},
+    "daemon": {"config", "desks", "fronts", "hook", "membership", "__version__"} | WIRES,
+    "cli": {"__version__", "config", "daemon", "hook"},
+    "__main__": {"cli"}, "__init__": set(),
+}
+NETWORK = {"socket", "asyncio", "tornado", "selectors", "ssl"}
+
+
+def imports(path: Path) -> set[str]:
+    """Top-level names imported by a module; those of this package as `seamlb.NAME`."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            found |= {".".join(one.name.split(".")[:2]) for one in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            assert node.level == 0, "imports are absolute"
+            if node.module == "seamlb":
+                found |= {f"seamlb.{one.name}" for one in node.names}
+            else:
+                found.add(".".join((node.module or "").split(".")[:2]))
+    return found
+
+
+@pytest.mark.parametrize("path", sorted(ROOT.rglob("*.py")), ids=lambda p: str(p.relative_to(ROOT)))
+def test_imports_point_downwards(path: Path) -> None:
+    layer = path.relative_to(ROOT).parts[0].removesuffix(".py")
+    own = {name.removeprefix("seamlb.") for name in imports(path) if name.startswith("seamlb.")}
+    assert own - {layer} <= ALLOWED[layer], f"{layer} may not import {own - {layer} - ALLOWED[layer]}"
+
+
+@pytest.mark.parametrize("name", ["api.py", "control.py", "drill.py", "protocol", "routing"])
+def test_no_network_code_where_none_belongs(name: str) -> None:
+    paths = [ROOT / name] if name.endswith(".py") else sorted((ROOT / name).glob("*.py"))
+    barred = NETWORK - ({"asyncio"} if name == "routing" else set())  # the core owns timers, not sockets
+    for path in paths:
+        assert not {one.split(".")[0] for one in imports(path)} & barred
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,149 @@
+"""The program as it is started: configurations, the hook, SIGTERM, the example."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from click.testing import CliRunner
+
+from seamlb.cli import main
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, invite, silent
+from tests.support import RAW
+
+ROOT = Path(__file__).resolve().parent.parent
+EXAMPLE = str(ROOT / "examples" / "config.json")
+
+
+class Configurations(unittest.TestCase):
+    def refuses(self, says: str, config: str | dict[str, Any], plugins: str = "") -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            file, toml = Path(folder) / "c.json", Path(folder) / "p.toml"
+            file.write_text(config if isinstance(config, str) else json.dumps(config))
+            toml.write_text(plugins)
+            extra = ["--plugins", str(toml)] if plugins else []
+            for command in ("check-config", "serve"):
+                told = CliRunner().invoke(main, [command, "--config", str(file), *extra])
+                self.assertEqual(told.exit_code, 2, told.output)
+                self.assertEqual(told.output.count("\n"), 1, told.output)
+                self.assertIn(says, told.output)
+
+    def test_what_is_wrong_is_one_line_and_exit_2(self) -> None:
+        good = {"listen": "127.0.0.1:0", "settings": RAW}
+        self.refuses("not JSON", "{")
+        self.refuses("not an object", "[]")
+        self.refuses("'settings' missing", {"listen": "127.0.0.1:1"})
+        self.refuses("listen: missing", {"settings": RAW})
+        self.refuses("listen: not host:port: 'here'", good | {"listen": "here"})
+        self.refuses("Contract.Fall: missing", good | {"settings": RAW | {"Contract": {
+            k: v for k, v in RAW["Contract"].items() if k != "Fall"}}})
+        self.refuses("not a list of notices", good | {"known": {"rev": 1, "notices": [{}]}})
+        self.refuses("unknown table web", good, "[web]\n")
+        self.refuses("sip.port: unknown key", good, "[sip]\nport = 1\n")
+        self.refuses("sip: neither udp nor tcp", good, "[sip]\n")
+        self.refuses("unknown class 'x'", good, '[sip]\nudp = "127.0.0.1:1"\ndefault_class = "x"\n')
+        self.refuses("sip.udp: not host:port", good, '[sip]\nudp = "nowhere"\n')
+        self.refuses("desks.transport", good, '[desks]\ntransport = "tcp"\nudp = "127.0.0.1:1"\n')
+        self.refuses("hook.py: FileNotFoundError", good, '[hook]\nfile = "hook.py"\n')
+
+    def test_the_files_that_ship_are_good(self) -> None:
+        for plugins in ("deploy/sip.toml", "examples/sip.toml"):
+            told = CliRunner().invoke(main, ["check-config", "--config", EXAMPLE, "--plugins", str(ROOT / plugins)])
+            self.assertEqual(told.exit_code, 0, told.output)
+
+    def test_version(self) -> None:
+        self.assertRegex(CliRunner().invoke(main, ["version"]).output, r"^seamlb \d")
+
+
+class Hooks(Story):
+    async def run_with(self, text: str) -> int:
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "hook.py"
+        path.write_text(text)
+        daemon = await self.start_sip(hook=str(path))
+        caller = await self.sip_caller(daemon, "udp")
+        answer = await caller.invite("ok")
+        caller.peer.send(caller.build("BYE"))
+        await self.eventually(lambda: self.events("call_end"))
+        return answer.status
+
+    async def test_a_hook_classifies_and_observes(self) -> None:
+        seen = Path(self.enterContext(tempfile.TemporaryDirectory())) / "seen"
+        status = await self.run_with(
+            "def classify(call):\n    assert call['transport'] == 'UDP' and call['headers']['max-forwards']\n"
+            f"    return {{'class': 'b'}}\ndef observe(r):\n    open({str(seen)!r}, 'w').write(str(r))\n")
+        self.assertEqual((status, self.events("call_end")[0]["kind"]), (200, "b"))
+        self.assertIn("'result': 'released'", seen.read_text())
+
+    async def test_a_hook_that_fails_is_disabled_and_the_call_goes_on(self) -> None:
+        for fault in ("return {'class': 'nobody'}", "return 7", "raise SystemExit if 0 else KeyError('x')"):
+            with self.subTest(fault=fault):
+                self.logged.clear()
+                self.assertEqual(await self.run_with(f"def classify(call):\n    {fault}\n"), 200)
+                self.assertEqual(self.events("call_end")[0]["kind"], "a")
+                self.assertEqual(len(self.events("hook_disabled")), 1)
+
+
+class Processes(Story):
+    async def process(self, *arguments: str, **environment: str) -> asyncio.subprocess.Process:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *arguments, cwd=ROOT, env=os.environ | environment,
+            stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+
+        async def stop() -> None:
+            if process.returncode is None:
+                process.kill()
+            await process.communicate()
+
+        self.addAsyncCleanup(stop)
+        return process
+
+    async def line(self, process: asyncio.subprocess.Process, holds: str) -> str:
+        async with asyncio.timeout(PATIENCE):
+            while holds not in (line := (await process.stdout.readline()).decode()):
+                self.assertTrue(line, f"ended before {holds!r}")
+            return line
+
+    async def test_sigterm_answers_what_was_taken_then_exits(self) -> None:
+        desk = ScriptedDesk(silent)
+        member = {"id": "d", "host_port": await desk.start(), "cell": 0, "phase": "Ready"}
+        known = {"rev": 1, "notices": [{"rev": 1, "pool": {"complete": True, "members": [member]}}]}
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
+        path.write_text(json.dumps({"settings": RAW, "known": known, "name": "n", "listen": "127.0.0.1:0"}))
+        free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        listen = "{}:{}".format(*free.sockets[0].getsockname())
+        free.close()
+        agent = await self.process("-m", "seamlb", GW_CONFIG=str(path), GW_LISTEN=listen, GW_NAME="n7")
+        self.assertIn('"name":"n7"', await self.line(agent, '"serving"'))
+        caller = await Peer.dial(listen)
+        caller.send(invite(timer=1500))
+        await desk.until("INVITE")
+        agent.send_signal(signal.SIGTERM)
+        await self.line(agent, '"draining"')
+        late = await Peer.dial(listen)
+        late.send(invite("00000000000000a2", timer=100))
+        self.assertEqual((await late.next()).status, 503)
+        self.assertEqual((await caller.next()).status, 503)
+        await self.line(agent, '"ended"')
+        self.assertEqual(await asyncio.wait_for(agent.wait(), PATIENCE), 0)
+        late.close()
+        caller.close()
+        await desk.stop()
+
+    async def test_the_example_runs_as_written(self) -> None:
+        desk = await self.process("examples/toy.py", "desk")
+        await self.line(desk, "toy desk on")
+        agent = await self.process("-m", "seamlb", "serve", "--config", "examples/config.json",
+                                   "--plugins", "examples/sip.toml")
+        await self.line(agent, '"serving"')
+        call = await self.process("examples/toy.py", "call", "alert-confirm")
+        self.assertIn("toy desk", await self.line(call, "SIP/2.0 200"))
+        await self.line(call, "BYE")
+        self.assertEqual(await asyncio.wait_for(call.wait(), PATIENCE), 0)
+        agent.send_signal(signal.SIGTERM)
+        self.assertEqual(await asyncio.wait_for(agent.wait(), PATIENCE), 0)
