Keep fewer lines for dearer ranks: a tenth of a root each, not half

Most were over share: an agent's part of an allowance is a plain fraction, and one agent had four times the others' traffic, so rank 5 met 2.5 roots (16 of 40 lines).

--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -31,7 +31,7 @@
 SPILL_BURST = 2.0  # ours: spilt calls at once
 STALL_MS = 250.0  # ours: a longer gap between two events is a stall of this node; its beat comes at half
 BEAT = 1 << 63  # the token of the beat; calls are below 2^52
-RESERVE = 0.5  # ours: roots of its lines that a server keeps for each dearer rank
+RESERVE = 0.1  # ours: roots of its lines that a server keeps for each dearer rank
 LIGHT_MS = 20.0  # ours: a delay that hardly counts against a route
 
 
