--- a/seamlb/cli.py
+++ b/seamlb/cli.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import sys
 from collections.abc import Callable
 
 import click
 
-from seamlb import __version__, config
+from seamlb import __version__, config, log
 from seamlb.daemon import Daemon
 from seamlb.hook import Hook, HookError
 
@@ -56,6 +57,8 @@
     """Serve calls until SIGTERM."""
     build = _daemon(path, plugins, listen, name)
 
+    logging.basicConfig(handlers=[log.Handler()], level=logging.WARNING)
+
     async def run() -> None:
         await build().run()
 
--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -40,7 +40,6 @@
     tenants: tuple[str, ...]
     zones: tuple[str, ...]
     connect_timeout: float  # seconds
-    idle_close: float  # seconds
     max_open: int
 
 
@@ -91,7 +90,6 @@
         tenants=tuple(str(one["Name"]) for one in settings.get("Tenants") or ()),
         zones=tuple(map(str, settings.get("Azs") or ())),
         connect_timeout=float(bounds.get("ConnectTimeout", 500.0)) / 1000.0,
-        idle_close=float(bounds.get("IdleClose", 600000.0)) / 1000.0,
         max_open=int(bounds.get("MaxOpen", 20000)),
     )
 
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -72,7 +72,7 @@
             self.desks = SipDesks(SipEndpoint("desk"), plugins.desks.transport.upper(), settings.fields)
         else:
             self.desks = PlatformDesks(
-                settings.fields, config.connect_timeout, config.idle_close, self.agent.sampled, self.front.release
+                settings.fields, config.connect_timeout, self.agent.sampled, self.front.release
             )
         self.agent.desks = self.desks
         self.board = Board(config.board, config.zones, self.agent.list_changed)
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 from seamlb import log
 from seamlb.net.connection import ConnectFailed, Connection, connect
@@ -53,12 +54,11 @@
     """Carries attempts to desks at the addresses that the list gives."""
 
     def __init__(
-        self, fields: Sequence[str], connect_timeout: float, idle_close: float,
+        self, fields: Sequence[str], connect_timeout: float,
         sampled: Callable[[str, tuple[float, ...]], None], stray: Callable[[str, int], None],
     ) -> None:
         self.fields = fields
         self.connect_timeout = connect_timeout
-        self.idle_close = idle_close
         self.sampled = sampled
         self.stray = stray  # the release of a call that this process never knew
         self.links: dict[str, Link] = {}
@@ -129,8 +129,8 @@
 
     # -- connections --------------------------------------------------------------------------
 
-    def _spawn(self, coroutine: Callable[[], None] | object) -> asyncio.Task[None]:
-        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(coroutine)  # type: ignore[arg-type]
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
@@ -146,7 +146,11 @@
                     await asyncio.wait_for(link.wanted.wait(), 0.5)
                 continue
             if len(link.open) >= MAX_CONNECTIONS:
-                link.open[0].close(CloseReason.SILENT)
+                spare = next((one for one in link.open if not self._legs_on(one)), None)
+                if spare is None:  # each carries set-ups: their time-outs make room, a close would break them
+                    await asyncio.sleep(RETRY_MOST)
+                    continue
+                spare.close(CloseReason.SILENT)
             try:
                 connection = await connect(link.desk.address, "desk", self.connect_timeout)
             except ConnectFailed as failed:
@@ -230,12 +234,14 @@
         for leg in link.waiting:
             self._over(self._key(leg.attempt))
             leg.heard(leg.attempt.leg, Outcome(Status.CONNECT_FAILED))
-        for connection in link.open[:]:
-            connection.close(CloseReason.REPLACED)
         for key, leg in list(self.legs.items()):
             if key[0] == link.desk.ident:
+                if leg.stands:
+                    self._bye(link, leg.attempt, CUT)  # it may still live, and hold an agent
                 self._over(key)
                 leg.heard(leg.attempt.leg, Outcome(Status.RESET, cause=CUT))
+        for connection in link.open[:]:
+            connection.finish(CloseReason.REPLACED)
 
     def _cut_standing(self, link: Link) -> None:
         for key, leg in list(self.legs.items()):
--- a/seamlb/desks/sip.py
+++ b/seamlb/desks/sip.py
@@ -91,7 +91,7 @@
         if leg:
             self._drop(leg)
             if leg.dialog:
-                self._bye(leg.dialog, cause)
+                self._bye(leg, leg.dialog, cause)
 
     def free(self, desk: str) -> None:
         """Idle connections close by themselves here."""
@@ -141,13 +141,14 @@
     def _stands(self, leg: Leg, message: Message) -> None:
         """Each 2xx is acknowledged; only the first of a leg that is still wanted stands."""
         dialog = Dialog.of_client(leg.invite, message)
-        ack = dialog.request("ACK", self.endpoint.via(leg.target.transport), seq=leg.invite.cseq()[0])
-        self._send(ack, dialog)
+        target = self._target(leg, dialog)
+        ack = dialog.request("ACK", self.endpoint.via(target.transport), seq=leg.invite.cseq()[0])
+        self.endpoint.transmit(ack, target)
         if leg.dialog is not None and leg.dialog.key == dialog.key:
             return  # the same answer again: our ACK was lost
         if not leg.wanted or leg.dialog is not None:
             # It crossed our CANCEL, or a second phone answered: taken down, never passed on.
-            self._bye(dialog, NORMAL)
+            self._bye(leg, dialog, NORMAL)
             return
         leg.dialog = dialog
         self.dialogs[dialog.key] = leg
@@ -164,25 +165,19 @@
         if leg.dialog:
             self.dialogs.pop(leg.dialog.key, None)
 
-    def _target(self, dialog: Dialog) -> Target | None:
+    def _target(self, leg: Leg, dialog: Dialog) -> Target:
         try:
-            return uri_target(dialog.next_hop(), self.transport)
-        except ValueError as error:
-            log.event("bad_target", kind="desk", call=dialog.call_id, error=str(error))
-            return None
-
-    def _send(self, message: Message, dialog: Dialog) -> None:
-        if target := self._target(dialog):
-            self.endpoint.transmit(message, target)
-
-    def _bye(self, dialog: Dialog, cause: int) -> None:
-        target = self._target(dialog)
-        if target:
-            bye = dialog.request("BYE", self.endpoint.via(target.transport), ("Reason", f"Q.850;cause={cause}"))
-            call = dialog.call_id
-            self.endpoint.request(
-                bye, target, lambda answer: None, lambda how: log.event("no_bye", call=call, how=how)
-            )
+            target = uri_target(dialog.next_hop(), leg.target.transport)
+        except ValueError:  # a name, or nothing usable: back to where the set-up went
+            return leg.target
+        return target if target.transport in self.endpoint.addresses else leg.target
+
+    def _bye(self, leg: Leg, dialog: Dialog, cause: int) -> None:
+        target, call = self._target(leg, dialog), dialog.call_id
+        bye = dialog.request("BYE", self.endpoint.via(target.transport), ("Reason", f"Q.850;cause={cause}"))
+        self.endpoint.request(
+            bye, target, lambda answer: None, lambda how: log.event("no_bye", call=call, how=how)
+        )
 
     def _request(self, message: Message, entry: Entry, flow: Flow) -> None:
         """Requests of desks: the release of a call above all."""
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -9,6 +9,7 @@
 
 from seamlb import log
 from seamlb.net.connection import Connection, Listener
+from seamlb.net.lag import Lag
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.report import parse_figures
 from seamlb.protocol.sip import Framer, Message, SipError, digits, parameter, response
@@ -73,11 +74,13 @@
         self.releases: deque[bytes] = deque(maxlen=PENDING_RELEASES)  # for the next connection
         self.classes = {kind.name: place for place, kind in enumerate(agent.settings.classes)}
         self.tenants = {name: place for place, name in enumerate(tenants)}
+        self.lag: Lag | None = None
         self.ready = False
         self.draining = False
 
     def start(self) -> None:
         self.listener.start_at(self.address)
+        self.lag = Lag()
 
     def drain(self) -> None:
         """Tests fail from now on; what comes is still taken until `stop_listening`."""
@@ -85,6 +88,8 @@
 
     def stop_listening(self) -> None:
         self.listener.stop()
+        if self.lag:
+            self.lag.stop()
 
     def close(self) -> None:
         for client in list(self.clients):
@@ -194,6 +199,8 @@
             number=rest.partition("@")[0], patience_ms=float(timer),
             destination=int(figures.get("dest", -1)), slots=figures.get("width", 1.0),
             via=int(figures.get("via", -1)), cut_before=figures.get("again", 0) > 0, description=message.body,
+            # The caller's time runs from when it sent: a stall of this process must not stretch it.
+            sent_ms_ago=self.lag.ms() if self.lag else 0.0,
         )
 
 
--- a/seamlb/fronts/sip.py
+++ b/seamlb/fronts/sip.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import secrets
 from collections.abc import Callable, Mapping, Sequence
@@ -15,7 +16,7 @@
 from seamlb.protocol.sip import Message, digits, parameter, response
 from seamlb.routing.agent import Agent, Life
 from seamlb.routing.model import Request
-from seamlb.sip.endpoint import Entry, Flow, SipEndpoint, uri_target
+from seamlb.sip.endpoint import Entry, Flow, SipEndpoint, Target, uri_target
 
 ALLOWED = ("INVITE", "ACK", "CANCEL", "BYE", "OPTIONS")
 ALLOW = ("Allow", ", ".join(ALLOWED))
@@ -132,13 +133,12 @@
         if dialog is None:
             return
         self.front.dialogs.pop(dialog.key, None)
-        endpoint, transport = self.front.endpoint, self.flow.transport
-        bye = dialog.request("BYE", endpoint.via(transport), ("Reason", f"Q.850;cause={cause}"))
-        ident = self.invite.get("call-id")
-        try:
-            target = uri_target(dialog.next_hop(), transport)
-        except ValueError as error:
-            return log.event("bad_target", kind="sip", call=ident, error=str(error))
+        endpoint, ident = self.front.endpoint, self.invite.get("call-id")
+        target = back = Target(self.flow.transport, self.flow.source)
+        with contextlib.suppress(ValueError):  # a name, or nothing usable: back to where the call came from
+            target = uri_target(dialog.next_hop(), self.flow.transport)
+        target = target if target.transport in endpoint.addresses else back
+        bye = dialog.request("BYE", endpoint.via(target.transport), ("Reason", f"Q.850;cause={cause}"))
         if self.flow.connection and self.flow.connection.closed is False and target.transport == "TCP":
             # The caller's own connection still works: it may not be reachable any other way.
             endpoint.adopt(target.address, self.flow.connection)
--- a/seamlb/log.py
+++ b/seamlb/log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import os
 import time
 import traceback
@@ -21,3 +22,12 @@
 def trace(error: BaseException) -> list[str]:
     """Where an exception came from, innermost last."""
     return [f"{at.filename}:{at.lineno} {at.name}" for at in traceback.extract_tb(error.__traceback__)[-6:]]
+
+
+class Handler(logging.Handler):
+    """Brings what libraries log into the same lines."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        facts = {"error": repr(record.exc_info[1]), "trace": trace(record.exc_info[1])} if (
+            record.exc_info and record.exc_info[1]) else {}
+        event("library", logger=record.name, level=record.levelname, text=record.getMessage(), **facts)
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -193,6 +193,9 @@
                 else:
                     decision = result_of
             result = self._answer(life, decision)
+        except asyncio.CancelledError:
+            result = "shutdown"  # it stands on: the desk's release is passed on after the restart
+            raise
         except Exception as error:
             # A fault in one life must not take others down, nor leave its caller without an answer.
             log.event("fault", where="life", call=life.request.ident, error=repr(error), trace=log.trace(error))
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -6,6 +6,7 @@
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from ipaddress import ip_address
 from typing import Any
 
 from seamlb import log
@@ -31,7 +32,7 @@
 
 CONNECT_TIMEOUT = 0.5
 IDLE = 600.0  # seconds without a byte after which a TCP connection is closed
-MAX_TRANSACTIONS = 20000  # beyond that a request is dropped, as retransmission brings it again
+MAX_TRANSACTIONS = 4096  # each is held for up to 32 s; beyond that requests are refused
 
 Address = tuple[str, int]
 
@@ -83,14 +84,16 @@
 
 
 def uri_target(uri: str, default_transport: str) -> Target:
-    """Where a sip: URI points; ValueError if it names no address."""
+    """Where a sip: URI points; ValueError if it holds no IP address (a name would need DNS, which may block)."""
     rest = uri.partition(":")[2].rpartition("@")[2]
     host, *params = rest.split(";")
     transport = next((p[10:].upper() for p in params if p.lower().startswith("transport=")), default_transport)
     if transport not in ("UDP", "TCP"):
         raise ValueError(f"transport {transport!r}")
     host = host.partition("?")[0]
-    return Target(transport, split_address(host if ":" in host.rpartition("]")[2] else f"{host}:5060"))
+    address = split_address(host if ":" in host.rpartition("]")[2] else f"{host}:5060")
+    ip_address(address[0])
+    return Target(transport, address)
 
 
 class SipEndpoint:
@@ -299,9 +302,9 @@
             if self.on_ack:
                 self.on_ack(message)
             return
-        if len(self.servers) >= MAX_TRANSACTIONS or self.on_request is None:
-            return
         mark_source(message, flow.source)
+        if len(self.servers) >= MAX_TRANSACTIONS or self.on_request is None:
+            return self._answer(response(message, 503, tag=secrets.token_hex(4)), message, flow)
         machine = (ServerInvite if message.method == "INVITE" else ServerOther)(message, flow.reliable)
         entry = Entry(
             key, machine, lambda one: self._answer(one, message, flow), self.on_ack or (lambda one: None),
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,7 +16,7 @@
     "hook": {"log"},
     "config": {"api", "fronts", "membership", "net", "protocol"},
     "daemon": {"config", "desks", "fronts", "hook", "membership", "__version__"} | WIRES,
-    "cli": {"__version__", "config", "daemon", "hook"},
+    "cli": {"__version__", "config", "daemon", "hook", "log"},
     "__main__": {"cli"}, "__init__": set(),
 }
 NETWORK = {"socket", "asyncio", "tornado", "selectors", "ssl"}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -107,6 +107,16 @@
         self.assertEqual((await caller.until("BYE")).get("call-id"), "feedfeedfeedfeed")
 
 
+    async def test_a_stall_of_this_process_does_not_stretch_the_callers_time(self) -> None:
+        desk = ScriptedDesk(silent)
+        daemon = await self.start(desk)
+        caller = await self.caller()
+        daemon.front.lag.stop()
+        daemon.front.lag.due -= 1.0  # as if the last second had gone to something else
+        caller.send(invite(timer=3000))
+        self.assertLess(int((await desk.until("INVITE")).get("x-timer-ms")), 2100)
+
+
 class Desks(Story):
     async def test_a_connection_lost_before_the_answer_is_a_reset_and_the_call_goes_on(self) -> None:
         async def breaks(peer, _invite):
@@ -154,6 +164,28 @@
         self.assertTrue(desk.seen.empty())
 
 
+    async def test_what_stood_at_a_desk_that_is_gone_is_cut_on_both_sides(self) -> None:
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        await caller.until(200)
+        daemon.agent.list_changed(api.Scope.FULL, [])
+        self.assertIn("cause=41", (await caller.until("BYE")).get("reason"))
+        self.assertIn("cause=41", (await desk.until("BYE")).get("reason"))
+
+    async def test_a_desk_that_falls_silent_is_tested_by_another_connection(self) -> None:
+        desk = ScriptedDesk(silent)
+        daemon = await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        sent = await desk.until("INVITE")
+        await self.eventually(lambda: len(desk.peers) == 2)
+        await ScriptedDesk().script(desk.peers[0], sent)  # only slow: the first still counts
+        self.assertEqual((await caller.until(200)).body, SDP)
+        self.assertEqual(len(daemon.desks.links["d0"].open), 2)
+
+
 class BadInput(Story):
     async def test_bad_messages_get_a_definite_answer(self) -> None:
         await self.start(ScriptedDesk())
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -130,6 +130,15 @@
         await self.eventually(lambda: self.events("call_end"))
         self.assertEqual(self.events("call_end")[0]["result"], "released")
 
+    async def test_a_contact_with_a_name_is_not_looked_up(self) -> None:
+        daemon = await self.start_sip()
+        caller = await self.sip_caller(daemon, "udp")
+        own, caller.address = caller.address, "phone.example"
+        await caller.invite("ok")
+        self.standin.bye(list(self.standin.hold)[-1])
+        await caller.peer.until("BYE")  # at the address that the call came from
+        self.assertNotEqual(own, caller.address)
+
     async def test_requests_outside_and_out_of_order(self) -> None:
         daemon = await self.start_sip()
         caller = await self.sip_caller(daemon, "udp")
