Free the desk at once when an answer has no way to its caller

A 200 over TCP whose connection is gone, with nobody listening at the Via, was resent for 32 s while an agent was held. The endpoint now tells the front that the transport broke (RFC 3261 17.2.4), which releases the call. A connection given up while it was being opened leaves its line too.

--- a/seamlb/fronts/sip.py
+++ b/seamlb/fronts/sip.py
@@ -251,6 +251,13 @@
         if call := self.dialogs.get((message.get("call-id"), to, sender)):
             call.acked()
 
+    def _untold(self, call: Call, how: str) -> None:
+        """The final answer got no ACK, or no way to the caller: what stands is taken down at once."""
+        log.event("no_ack", kind="sip", call=call.invite.get("call-id"), how=how)
+        if call.dialog:
+            call.over()
+            self.left(call, NORMAL)
+
     def left(self, call: Call, cause: int) -> None:
         if call.life:
             self.agent.caller_left(call.life, cause)
@@ -264,6 +271,7 @@
             if same and parameter(other.invite.get("from"), "tag") == from_tag:
                 return self._respond(message, entry, 482)
         call = Call(self, message, entry, flow, secrets.token_hex(8))
+        entry.failed = lambda how: self._untold(call, how)
         call.respond(100)
         try:
             request = self._read(message, call.tag, flow.transport)
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -129,6 +129,7 @@
         reason = CloseReason.REFUSED if refused else CloseReason.PEER_RESET
     except asyncio.CancelledError:
         stream.close()
+        log.event("connection_end", kind=kind, peer=address, reason=CloseReason.SHUTDOWN.value)
         raise
     except OSError:
         reason = CloseReason.ERROR
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -307,13 +307,21 @@
             return self._answer(response(message, 503, tag=secrets.token_hex(4)), message, flow)
         machine = (ServerInvite if message.method == "INVITE" else ServerOther)(message, flow.reliable)
         entry = Entry(
-            key, machine, lambda one: self._answer(one, message, flow), self.on_ack or (lambda one: None),
+            key, machine, lambda one: self._answer(one, message, flow, broken), self.on_ack or (lambda one: None),
             lambda how: log.event("no_ack", kind=self.kind, call=message.get("call-id"), how=how),
         )
+
+        def broken(how: str) -> None:
+            if machine.broken():
+                self._settle(entry)
+                entry.failed(how)
+
         self.servers[key] = entry
         self.on_request(message, entry, flow)
 
-    def _answer(self, answer: Message, request: Message, flow: Flow) -> None:
+    def _answer(
+        self, answer: Message, request: Message, flow: Flow, broken: Callable[[str], None] = lambda how: None
+    ) -> None:
         """Send a response where 18.2.2 has it go."""
         if flow.connection and flow.connection.send(answer.encode()):
             return
@@ -324,7 +332,7 @@
         if flow.transport == "UDP" and digits(rport):
             place = int(rport)
         # The connection is gone: the answer goes by a new one to where the caller listens.
-        self.transmit(answer, Target(flow.transport, (flow.source[0], min(place, 65535))))
+        self.transmit(answer, Target(flow.transport, (flow.source[0], min(place, 65535))), broken)
 
     # -- TCP connections of ours --------------------------------------------------------------
 
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -130,6 +130,19 @@
         await self.eventually(lambda: self.events("call_end"))
         self.assertEqual(self.events("call_end")[0]["result"], "released")
 
+    async def test_an_answer_with_no_way_to_its_caller_frees_the_desk(self) -> None:
+        daemon = await self.start_sip()
+        caller = await self.sip_caller(daemon, "tcp")
+        caller.renew()
+        caller.peer.send(caller.build("INVITE", number="late"))  # its Via names no listener
+        await self.eventually(lambda: self.standin.hold)
+        caller.peer.close()
+        await self.eventually(lambda: self.events("connection_end"))
+        self.standin.accept(next(iter(self.standin.hold.values())))
+        await self.eventually(lambda: "BYE" in self.standin.methods())
+        await self.eventually(lambda: self.events("call_end"))
+        self.assertEqual((len(daemon.sip.dialogs), len(daemon.agent.lives)), (0, 0))
+
     async def test_a_contact_with_a_name_is_not_looked_up(self) -> None:
         daemon = await self.start_sip()
         caller = await self.sip_caller(daemon, "udp")
