Watch every write that is not taken at once; test how connections end

A write queued behind one that moved was no longer watched, so a peer that stopped reading just then could hold its bytes for ever (net/connection.py, _moved).

--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -46,6 +46,7 @@
         self.reason: CloseReason | None = None
         self.last_read = asyncio.get_running_loop().time()
         self._stuck: asyncio.TimerHandle | None = None
+        self._last: asyncio.Future[None] | None = None  # the latest write not taken at once
         stream.set_nodelay(True)
 
     @property
@@ -86,17 +87,24 @@
             return False
         # A write that is not taken at once is watched: a peer that reads no more must not keep bytes
         # and a descriptor here for ever.
-        if not written.done() and self._stuck is None:
-            self._stuck = asyncio.get_running_loop().call_later(
-                self.write_timeout, self.close, CloseReason.WRITE_TIMEOUT
-            )
-            written.add_done_callback(self._moved)
+        if not written.done():
+            self._last = written
+            if self._stuck is None:
+                self._watch()
         return True
 
-    def _moved(self, _written: Any) -> None:
+    def _watch(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._stuck = loop.call_later(self.write_timeout, self.close, CloseReason.WRITE_TIMEOUT)
+        if self._last is not None:
+            self._last.add_done_callback(self._moved)
+
+    def _moved(self, written: Any) -> None:
         if self._stuck:
             self._stuck.cancel()
             self._stuck = None
+        if self.reason is None and written is not self._last:
+            self._watch()  # more was queued meanwhile
 
     def finish(self, reason: CloseReason) -> None:
         """Close once what is queued is out, at the write time-out at the latest."""
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,161 @@
+"""Connections, listeners and datagrams: each way to end leaves one line with its reason."""
+
+import asyncio
+import socket
+import time
+from unittest import mock
+
+from seamlb import api
+from seamlb.daemon import Daemon
+from seamlb.net.connection import ConnectFailed, Connection, Listener, connect
+from seamlb.net.reason import CloseReason
+from seamlb.routing.agent import Clock
+from tests.loopback import Peer, ScriptedDesk, Story, Udp, config, invite, plain
+
+
+class Ends(Story):
+    async def pair(self, limit: int = 8, write_timeout: float = 5.0) -> tuple[Connection, Peer]:
+        """Our side and a scripted peer's."""
+        got: asyncio.Queue[Connection] = asyncio.Queue()
+
+        async def accepted(connection: Connection) -> None:
+            connection.write_timeout = write_timeout
+            got.put_nowait(connection)
+            await connection.run(lambda data: None)
+
+        listener = Listener("t", limit, accepted)
+        listener.start_at("127.0.0.1:0")
+        self.addCleanup(listener.stop)
+        self.address = f"127.0.0.1:{listener.port}"
+        peer = await Peer.dial(self.address)
+        self.addCleanup(peer.close)
+        return await got.get(), peer
+
+    def reasons(self) -> list[str]:
+        return [one["reason"] for one in self.events("connection_end")]
+
+    async def test_the_other_side_closes_or_breaks(self) -> None:
+        _, peer = await self.pair()
+        peer.close()
+        await self.eventually(self.reasons)
+        _, peer = await self.pair()
+        peer.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        peer.reset()
+        await self.eventually(lambda: len(self.reasons()) == 2)
+        self.assertEqual(self.reasons(), ["peer_closed", "peer_reset"])
+
+    async def test_a_peer_that_takes_nothing_is_bounded_in_time_and_in_bytes(self) -> None:
+        ours, peer = await self.pair(write_timeout=0.05)
+        peer.writer.transport.pause_reading()
+        while ours.stream.writing() is False:
+            ours.send(b"x" * 65536)
+        await self.eventually(self.reasons)
+        ours, peer = await self.pair()
+        peer.writer.transport.pause_reading()
+        for _ in range(400):
+            ours.send(b"x" * 65536)
+        self.assertEqual(self.reasons(), ["write_timeout", "overflow"])
+        self.assertFalse(ours.send(b"more"))
+
+    async def test_a_connection_over_the_limit_is_closed_at_once(self) -> None:
+        await self.pair(limit=1)
+        second = await Peer.dial(self.address)
+        with self.assertRaises((EOFError, OSError)):
+            await second.next()
+        second.close()
+        self.assertEqual(self.reasons(), ["limit"])
+
+    async def test_connections_that_never_come_up(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = "{}:{}".format(*free.getsockname())
+        with self.assertRaises(ConnectFailed) as failed:
+            await connect(address, "t", 5.0)
+        self.assertEqual(failed.exception.reason, CloseReason.REFUSED)
+        with deaf() as address:
+            with self.assertRaises(ConnectFailed) as failed:
+                await connect(address, "t", 0.1)
+            self.assertEqual(failed.exception.reason, CloseReason.CONNECT_TIMEOUT)
+        self.assertEqual(self.reasons(), ["refused", "connect_timeout"])
+
+    async def test_a_fault_in_a_handler_ends_its_connection_only(self) -> None:
+        daemon = await self.start(ScriptedDesk())
+        caller, other = await self.caller(), await self.caller()
+        with mock.patch.object(daemon.front, "_request", side_effect=ZeroDivisionError):
+            caller.send(plain("OPTIONS"))
+            with self.assertRaises(EOFError):
+                await caller.next()
+        self.assertEqual((self.reasons(), len(self.events("fault"))), (["error"], 1))
+        other.send(plain("OPTIONS"))
+        self.assertEqual((await other.next()).status, 200)
+
+
+class deaf:
+    """An address that lets nobody in: its queue of connections is full, and nothing is accepted."""
+
+    def __enter__(self) -> str:
+        self.server = socket.socket()
+        self.server.bind(("127.0.0.1", 0))
+        self.server.listen(0)
+        self.fillers = []
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.server.getsockname())
+            self.fillers.append(filler)
+        return "{}:{}".format(*self.server.getsockname())
+
+    def __exit__(self, *_: object) -> None:
+        for one in (*self.fillers, self.server):
+            one.close()
+
+
+class Unreachable(Story):
+    async def test_a_desk_that_lets_nobody_in_costs_its_connect_time_and_nothing_ran(self) -> None:
+        daemon = await self.start()
+        with deaf() as address:
+            daemon.agent.list_changed(api.Scope.DELTA, [self.desk(0, address)])
+            self.warm(daemon, 0)
+            seen: list[api.Event] = []
+            handle = daemon.agent.module.handle
+            daemon.agent.module.handle = lambda now, e: seen.append(e) or handle(now, e)
+            caller = await self.caller()
+            caller.send(invite())
+            self.assertEqual((await caller.next()).status, 503)
+            (ended,) = [one for one in seen if isinstance(one, api.Ended)]
+            self.assertEqual(ended.status, api.Status.CONNECT_FAILED)
+
+
+class Peers(Story):
+    async def test_messages_go_to_one_or_all_and_none_is_over_256_bytes(self) -> None:
+        one, everyone, stranger = await Udp.bind(), await Udp.bind(), await Udp.bind()
+        for udp in (one, everyone, stranger):
+            self.addCleanup(udp.close)
+            udp.datagram_received = lambda data, addr, udp=udp: udp.got.put_nowait((data, addr))
+        limits = {"AttemptsCap": 4, "Peers": True, "MaxRetryAfter": 0}
+        daemon = Daemon(config(
+            settings={"Limits": limits}, peer_listen="127.0.0.1:0", peers=["127.0.0.1:1", one.address],
+            peers_all=everyone.address,
+        ))
+        self.addAsyncCleanup(self._stop, daemon, ())
+        await daemon.start()
+        daemon.peers.send(1, b"to one")
+        daemon.peers.send(None, b"to all")
+        self.assertEqual((await one.next(), await everyone.next()), (b"to one", b"to all"))
+        daemon.peers.send(1, b"x" * 257)
+        daemon.peers.send(1, b"last")
+        self.assertEqual(await one.next(), b"last")
+        seen: list[api.Event] = []
+        daemon.agent.module.handle = lambda now, e: seen.append(e) or []
+        for udp, data in ((stranger, b"who"), (one, b"x" * 257), (one, b"hi")):
+            udp.source = daemon.peers.endpoint.address
+            udp.send(data)
+        await self.eventually(lambda: seen)
+        self.assertEqual(seen, [api.PeerNote(1, b"hi")])
+
+
+class Clocks(Story):
+    def test_the_modules_clock_never_goes_back(self) -> None:
+        clock = Clock()
+        first = clock.now()
+        with mock.patch.object(time, "time", return_value=0.0):
+            self.assertGreaterEqual(clock.now(), first)
