--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -12,7 +12,7 @@
 from seamlb.net.connection import ConnectFailed, Connection, connect
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.report import NOTES, parse_report
-from seamlb.protocol.sip import Framer, Message, parameter, response
+from seamlb.protocol.sip import Framer, Message, SipError, parameter, response
 from seamlb.routing.model import Answer, Attempt, Availability, Desk, Heard, Outcome, Status
 
 MAX_CONNECTIONS = 4  # a desk tells the state of its group on four at most
@@ -204,19 +204,15 @@
     async def _serve(self, link: Link, connection: Connection) -> None:
         framer = Framer()
 
-        def received(data: bytes) -> None:
-            framer.feed(data)
-            for message in framer.messages():
-                if isinstance(message, Message):
-                    self._message(link, connection, message)
-                    continue
-                log.event("malformed", kind="desk", peer=connection.peer, error=str(message))
-                if message.lost:
-                    connection.close(CloseReason.MALFORMED)
-                    return
+        def malformed(error: SipError) -> None:
+            log.event("malformed", kind="desk", peer=connection.peer, error=str(error))
+            if error.lost:
+                connection.close(CloseReason.MALFORMED)
 
         try:
-            await connection.run(received)
+            await connection.run(lambda data: framer.take(
+                data, lambda message: self._message(link, connection, message), malformed
+            ))
         finally:
             link.open.remove(connection)
             if not self.closing:
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -113,22 +113,14 @@
         try:
             while self.releases:
                 connection.send(self.releases.popleft())
-            await connection.run(lambda data: self._received(client, data))
+            await connection.run(lambda data: client.framer.take(
+                data, lambda message: self._request(client, message), lambda error: self._malformed(client, error)
+            ))
         finally:
             self.clients.discard(client)
             for call in list(client.open.values()):
                 self._left(call, NORMAL)  # nobody can be told any more
 
-    def _received(self, client: Client, data: bytes) -> None:
-        client.framer.feed(data)
-        for message in client.framer.messages():
-            if isinstance(message, SipError):
-                self._malformed(client, message)
-                if message.lost:
-                    return
-            elif message.method:
-                self._request(client, message)
-
     def _malformed(self, client: Client, error: SipError) -> None:
         log.event("malformed", kind="client", peer=client.connection.peer, error=str(error))
         if request := error.answerable():
@@ -142,8 +134,8 @@
         match message.method:
             case "INVITE":
                 self._invite(client, message, ident, call)
-            case "ACK":
-                pass
+            case "ACK" | "":
+                pass  # nor are responses (the 200 to a release) of any use
             case "CANCEL":
                 if call and ident in call.client.open:
                     call.client.open.pop(ident)  # no answer is owed to a caller that gave up
--- a/seamlb/fronts/sip.py
+++ b/seamlb/fronts/sip.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from seamlb import log
+from seamlb.net.lag import Lag
 from seamlb.protocol.dialog import Dialog, Resender
 from seamlb.protocol.report import parse_figures
 from seamlb.protocol.sip import Message, digits, parameter, response
@@ -170,10 +171,12 @@
         self.tenants = {name: place for place, name in enumerate(tenants)}
         self.pending: dict[tuple[str, ...], Call] = {}
         self.dialogs: dict[tuple[str, str, str], Call] = {}
+        self.lag: Lag | None = None
         self.draining = False
 
     async def start(self) -> None:
         await self.endpoint.listen(self.config.udp, self.config.tcp)
+        self.lag = Lag()
 
     def drain(self) -> None:
         self.draining = True
@@ -182,6 +185,8 @@
         self.endpoint.stop_listening()
 
     def close(self) -> None:
+        if self.lag:
+            self.lag.stop()
         self.endpoint.close()
 
     # -- requests -----------------------------------------------------------------------------
@@ -306,4 +311,5 @@
             destination=int(figures.get("dest", usual)), slots=figures.get("width", kind.width),
             via=int(figures.get("via", -1)), cut_before=figures.get("again", 0) > 0, description=message.body,
             description_type=message.get("content-type") or "application/sdp",
+            sent_ms_ago=self.lag.ms() if self.lag else 0.0,
         )
--- a/seamlb/protocol/report.py
+++ b/seamlb/protocol/report.py
@@ -10,15 +10,7 @@
 
 def parse_report(text: str, fields: Sequence[str]) -> tuple[float, ...]:
     """`idle:12;circuits:40` in the order of `fields`, -1 for what is not told; () if nothing is."""
-    told = {}
-    for part in text.split(";"):
-        name, _, figure = part.partition(":")
-        try:
-            value = float(figure)
-        except ValueError:
-            continue
-        if isfinite(value):
-            told[name.strip()] = value
+    told = parse_figures(text)
     if not told.keys() & set(fields):
         return ()
     return tuple(told.get(name, -1.0) for name in fields)
--- a/seamlb/protocol/sip.py
+++ b/seamlb/protocol/sip.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 MAX_MESSAGE = 16 * 1024
@@ -164,6 +164,19 @@
     def feed(self, data: bytes) -> None:
         self.data += data
 
+    def take(
+        self, data: bytes, good: Callable[[Message], None], bad: Callable[[SipError], None]
+    ) -> None:
+        """Feed bytes and hand over what is whole, up to an error that ends the stream."""
+        self.feed(data)
+        for one in self.messages():
+            if isinstance(one, SipError):
+                bad(one)
+                if one.lost:
+                    return
+            else:
+                good(one)
+
     def messages(self) -> Iterator[Message | SipError]:
         """What is whole by now; a malformed message comes as its error."""
         while True:
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -259,19 +259,15 @@
         flow, framer = Flow("TCP", (host, port), connection), Framer()
         self.connections.add(connection)
 
-        def received(data: bytes) -> None:
-            framer.feed(data)
-            for message in framer.messages():
-                if isinstance(message, Message):
-                    self._message(message, flow)
-                    continue
-                self._malformed(message, flow)
-                if message.lost:
-                    connection.finish(CloseReason.MALFORMED)
-                    return
+        def malformed(error: SipError) -> None:
+            self._malformed(error, flow)
+            if error.lost:
+                connection.finish(CloseReason.MALFORMED)
 
         try:
-            await connection.run(received)
+            await connection.run(lambda data: framer.take(
+                data, lambda message: self._message(message, flow), malformed
+            ))
         finally:
             self.connections.discard(connection)
             for address in [one for one, route in self.routes.items() if route.connection is connection]:
