--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -106,10 +106,19 @@
         if self.sip:
             await self.sip.start()
         loop = asyncio.get_running_loop()
-        self.following = [loop.create_task(member.run()) for member in self.members]
+        self.following = [loop.create_task(self._follow(member)) for member in self.members]
         self.front.ready = True
         log.event("serving", name=config.name, listen=config.listen, version=__version__)
 
+    async def _follow(self, member: Membership) -> None:
+        """Follow a list; a fault is logged and it is followed anew, as a drain must not go unheard."""
+        while True:
+            try:
+                await member.run()
+            except Exception as error:
+                log.event("fault", where="membership", error=repr(error), trace=log.trace(error))
+            await asyncio.sleep(1.0)
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain: keep taking, answer all that was taken, go."""
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -99,7 +99,7 @@
                         life.news.put_nowait(action)
                 case api.WakeAt(token, at):
                     delay = max(0.0, at - self.clock()) / 1000.0
-                    asyncio.get_running_loop().call_later(delay, self.feed, api.Alarm(token))
+                    asyncio.get_running_loop().call_later(delay, self.tell, api.Alarm(token))
                 case api.Signal(target, payload):
                     if self.peers:
                         self.peers.send(target, payload)
@@ -111,6 +111,13 @@
                 case api.Follow() | api.Pull() | api.Poll():
                     pass  # the list comes unasked here, and desks may not be probed
 
+    def tell(self, event: api.Event) -> None:
+        """Feed news that belongs to no life; a fault is logged and must not end whoever brought the news."""
+        try:
+            self.feed(event)
+        except Exception as error:
+            log.event("fault", where="module", news=type(event).__name__, error=repr(error), trace=log.trace(error))
+
     # -- the list of desks --------------------------------------------------------------------
 
     def list_changed(self, scope: api.Scope, desks: Sequence[Desk]) -> None:
@@ -118,7 +125,7 @@
         entries = tuple(
             api.ListEntry(self._number(d.ident), d.zone, d.cell, d.availability, d.since_ms) for d in desks
         )
-        self.feed(api.ListChange(scope, entries))
+        self.tell(api.ListChange(scope, entries))
         gone = [] if scope == api.Scope.DELTA else self.listed.keys() - {d.ident for d in desks}
         for name in sorted(gone):
             old = self.listed[name]
@@ -143,11 +150,11 @@
     def sampled(self, desk: str, report: tuple[float, ...]) -> None:
         """Unasked news of a desk's free agents."""
         if desk in self.numbers:
-            self.feed(api.Sampled(self.numbers[desk], api.Status.OK, 0.0, report))
+            self.tell(api.Sampled(self.numbers[desk], api.Status.OK, 0.0, report))
 
     def peer_said(self, sender: int, payload: bytes) -> None:
         """A message from another call agent."""
-        self.feed(api.PeerNote(sender, payload))
+        self.tell(api.PeerNote(sender, payload))
 
     # -- the life of a request ----------------------------------------------------------------
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -186,6 +186,27 @@
         self.assertEqual(len(daemon.desks.links["d0"].open), 2)
 
 
+class Faults(Story):
+    async def test_a_fault_in_one_life_fails_that_call_alone(self) -> None:
+        daemon = await self.start(ScriptedDesk())
+        handle = daemon.agent.module.handle
+
+        def broken(now: float, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Demand) and event.call == 1 or isinstance(event, api.ListChange):
+                raise ZeroDivisionError
+            return handle(now, event)
+
+        daemon.agent.module.handle = broken
+        caller = await self.caller()
+        caller.send(invite())
+        self.assertEqual((await caller.next()).status, 500)
+        caller.send(invite("00000000000000a2"))
+        self.assertEqual((await caller.until(200)).get("call-id"), "00000000000000a2")
+        daemon.agent.list_changed(api.Scope.DELTA, [])  # whoever brings the list goes on
+        self.assertEqual([one["where"] for one in self.events("fault")], ["life", "module"])
+        self.assertEqual(daemon.agent.unanswered, 0)
+
+
 class BadInput(Story):
     async def test_bad_messages_get_a_definite_answer(self) -> None:
         await self.start(ScriptedDesk())
