Say with every refusal when to come back

The module named a back-off only where the settings expect callers to heed one, so this site's refusals carried no Retry-After, against the issue. At fault: _give_up in seamlb/control.py.

--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -348,8 +348,8 @@
         del self.calls[call.ident]
         kind = call.kind
         if call.ran is None or kind.effect == "free" or (kind.effect == "guarded" and kind.group == "all"):
-            backoff = self.set.limits.max_retry_after * self.rng.uniform(0.25, 0.75)
-            self.out.append(api.Deny(call.ident, backoff if self.set.limits.retry_after else 0.0))
+            # The back-off is named whether or not callers are known to heed it: a refusal can say no more.
+            self.out.append(api.Deny(call.ident, self.set.limits.max_retry_after * self.rng.uniform(0.25, 0.75)))
         else:
             self.out.append(api.ReportFailure(call.ident))
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -63,6 +63,13 @@
         await desk.until("ACK")
         await desk.until("BYE")
 
+    async def test_a_refusal_says_when_to_come_back_though_the_site_expects_no_one_to_heed_it(self) -> None:
+        limits = {"AttemptsCap": 4, "MaxRetryAfter": 2000.0, "RetryAfter": False}
+        await self.start(ScriptedDesk(refuse(503, ("X-Diagnosis", "atb"))), settings={"Limits": limits})
+        caller = await self.caller()
+        caller.send(invite())
+        self.assertIn((await caller.until(503)).get("retry-after"), ("1", "2"))
+
     async def test_a_caller_that_gives_up_cancels_the_attempt(self) -> None:
         desk = ScriptedDesk(silent)
         await self.start(desk)
