--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -348,8 +348,8 @@
         del self.calls[call.ident]
         kind = call.kind
         if call.ran is None or kind.effect == "free" or (kind.effect == "guarded" and kind.group == "all"):
-            # The back-off is named whether or not callers are known to heed it: a refusal can say no more.
-            self.out.append(api.Deny(call.ident, self.set.limits.max_retry_after * self.rng.uniform(0.25, 0.75)))
+            backoff = self.set.limits.max_retry_after * self.rng.uniform(0.25, 0.75)
+            self.out.append(api.Deny(call.ident, backoff))  # named whether or not callers are known to heed it
         else:
             self.out.append(api.ReportFailure(call.ident))
 
