--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -349,7 +349,7 @@
         kind = call.kind
         if call.ran is None or kind.effect == "free" or (kind.effect == "guarded" and kind.group == "all"):
             backoff = self.set.limits.max_retry_after * self.rng.uniform(0.25, 0.75)
-            self.out.append(api.Deny(call.ident, backoff))  # named whether or not callers are known to heed it
+            self.out.append(api.Deny(call.ident, backoff))  # whether or not callers are known to heed it
         else:
             self.out.append(api.ReportFailure(call.ident))
 
