--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,6 +1,7 @@
 """The README's example runs, and the module keeps its size."""
 
 import re
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -15,3 +16,11 @@
     lines = (ROOT / "seamlb" / "control.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 400
     assert max(map(len, lines)) <= 110
+
+
+def test_the_deploy_file_names_all_of_the_daemon() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    named = {*deploy["node"], *deploy["policy"], "seamlb/drill.py", "seamlb/__init__.py", "seamlb/py.typed"}
+    there = {f"seamlb/{one.name}" for one in (ROOT / "seamlb").iterdir() if one.name != "__pycache__"}
+    assert named == there
+    assert {"build", "run", "sim"} <= deploy.keys()
