Take a new configuration on SIGHUP instead of ending by it

At fault: daemon.py run() installed handlers for SIGTERM and SIGINT only. Now Daemon.reload reads the files of the start anew, whole, and Board.move ends the poll, pause or connect under way; the number reached is kept. The handler stays through the drain and SIGHUP is ignored once the loop is gone.

--- a/seamlb/cli.py
+++ b/seamlb/cli.py
@@ -25,19 +25,28 @@
 )
 
 
+def _read(path: str, plugins: str, listen: str = "", name: str = "") -> tuple[config.Config, config.Plugins]:
+    """Both files, checked whole; ConfigError if they can't be used."""
+    loaded = config.load(path, listen, name)
+    extras = config.load_plugins(plugins, loaded) if plugins else config.Plugins()
+    if not loaded.listen and not extras.sip:
+        raise config.ConfigError(f"{path}: listen: missing, and no sip front is on")
+    if extras.hook:
+        try:
+            Hook(extras.hook)
+        except HookError as error:
+            raise config.ConfigError(str(error)) from None
+    return loaded, extras
+
+
 def _daemon(path: str, plugins: str, listen: str = "", name: str = "") -> Callable[[], Daemon]:
-    """A daemon from checked files; one line and exit code 2 if they can't be used."""
+    """A daemon from checked files, which it reads anew on SIGHUP; one line and exit code 2 if they can't be used."""
     try:
-        loaded = config.load(path, listen, name)
-        extras = config.load_plugins(plugins, loaded) if plugins else config.Plugins()
-        if not loaded.listen and not extras.sip:
-            raise config.ConfigError(f"{path}: listen: missing, and no sip front is on")
-        if extras.hook:
-            Hook(extras.hook)
-    except (config.ConfigError, HookError) as error:
+        loaded, extras = _read(path, plugins, listen, name)
+    except config.ConfigError as error:
         click.echo(f"seamlb: {error}", err=True)
         sys.exit(2)
-    return lambda: Daemon(loaded, extras)
+    return lambda: Daemon(loaded, extras, lambda: _read(path, plugins, listen, name))
 
 
 @click.group(invoke_without_command=True)
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
+from dataclasses import fields
 
 from seamlb import __version__, log
-from seamlb.config import Config, Plugins
+from seamlb.config import Config, ConfigError, Plugins
 from seamlb.desks.platform import PlatformDesks
 from seamlb.desks.sip import SipDesks
 from seamlb.fronts.platform import PlatformFront
@@ -54,8 +56,12 @@
 class Daemon:
     """One call agent: the platform's parts, and the plug-ins that are on."""
 
-    def __init__(self, config: Config, plugins: Plugins | None = None) -> None:
+    def __init__(
+        self, config: Config, plugins: Plugins | None = None,
+        reread: Callable[[], tuple[Config, Plugins]] | None = None,
+    ) -> None:
         self.config = config
+        self.reread = reread  # reads the files of the start anew, checked whole
         self.plugins = plugins = plugins or Plugins()
         settings = config.settings
         self.hook = Hook(plugins.hook) if plugins.hook else None
@@ -76,7 +82,7 @@
             )
         self.agent.desks = self.desks
         self.board = Board(config.board, config.zones, self.agent.list_changed)
-        self.members: list[Membership] = [self.board] if config.board else []
+        self.members: list[Membership] = [self.board]
         if plugins.consul:
             self.members.append(Consul(plugins.consul, config.zones, self.agent.list_changed, config.seed))
         self.peers: PeerLink | None = None
@@ -119,10 +125,31 @@
                 log.event("fault", where="membership", error=repr(error), trace=log.trace(error))
             await asyncio.sleep(1.0)
 
+    def reload(self) -> None:
+        """SIGHUP: take the files as they are now; what can't be used changes nothing and leaves one line.
+
+        Only `board` is taken over while serving. Whatever else is new waits for a restart and is named.
+        """
+        if self.reread is None:
+            return
+        try:
+            config, plugins = self.reread()
+        except ConfigError as error:
+            log.event("reload_failed", error=str(error))
+            return
+        waits = [
+            one.name for new, old in ((config, self.config), (plugins, self.plugins)) for one in fields(new)
+            if one.name not in ("board", "known") and getattr(new, one.name) != getattr(old, one.name)
+        ]
+        self.board.move(config.board)
+        log.event("reloaded", board=config.board, waits_for_restart=waits)
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain: keep taking, answer all that was taken, go."""
+        loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            asyncio.get_running_loop().add_signal_handler(number, self.term.set)
+            loop.add_signal_handler(number, self.term.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self.term.wait()
         log.event("draining", open=self.agent.unanswered)
@@ -135,6 +162,9 @@
             self.sip.stop_listening()
         await self.agent.idle.wait()
         await self.close()
+        # The loop puts the default back when it closes: a SIGHUP until the exit must not end the drain as a crash.
+        loop.remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         log.event("ended", taken=self.agent.taken)
 
     async def close(self) -> None:
--- a/seamlb/membership/board.py
+++ b/seamlb/membership/board.py
@@ -31,6 +31,7 @@
         self.changed = changed
         self.rev = 0
         self.told = False
+        self.moved = asyncio.Event()
 
     def known(self, raw: Mapping[str, Any]) -> None:
         """Take a list of notices, the configuration's or the board's; those known already are skipped."""
@@ -54,9 +55,30 @@
         self.changed(Scope.CACHED if first else Scope.FULL if notice.complete else Scope.DELTA, desks)
         log.event("list", rev=notice.rev, complete=notice.complete, desks=len(desks))
 
+    def move(self, address: str) -> None:
+        """Follow the board at another address from now on; the numbers of the events continue."""
+        if address != self.address:
+            self.address = address
+            self.moved.set()
+
     async def run(self) -> None:
+        """Follow the board until cancelled; a move ends the poll, the pause or the connect that is under way."""
+        while True:
+            self.moved.clear()
+            moved = asyncio.ensure_future(self.moved.wait())
+            polling = asyncio.ensure_future(self._poll(self.address)) if self.address else moved
+            try:
+                await asyncio.wait((polling, moved), return_when=asyncio.FIRST_COMPLETED)
+                if polling.done():
+                    polling.result()  # it ends by a fault alone, which is the daemon's to log
+            finally:
+                moved.cancel()
+                polling.cancel()
+                await asyncio.gather(polling, moved, return_exceptions=True)
+
+    async def _poll(self, address: str) -> None:
         """Poll until cancelled; a connection that ends or falls silent is opened anew."""
-        poller = Poller(self.address, "board")
+        poller = Poller(address, "board")
         pause = 0.0
         try:
             while True:
@@ -76,4 +98,4 @@
                     continue
                 pause = 0.0
         finally:
-            poller.close(CloseReason.SHUTDOWN)
+            poller.close(CloseReason.SHUTDOWN if address == self.address else CloseReason.REPLACED)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,56 +1,13 @@
 """The notice board and Consul, against stand-ins that answer HTTP as their pages say."""
 
 import asyncio
-import json
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 from seamlb import api
 from seamlb.membership.board import Board
 from seamlb.membership.consul import Consul, ConsulConfig
 from seamlb.protocol.http import HttpError, ResponseReader
-from tests.loopback import Story
-
-Handler = Callable[["Stand", str], Awaitable[bytes | None]]
-
-
-class Stand:
-    """An HTTP server whose handler gives each answer's bytes; None closes the connection."""
-
-    def __init__(self, handler: Handler) -> None:
-        self.handler = handler
-        self.paths: list[str] = []
-        self.writers: list[asyncio.StreamWriter] = []
-
-    async def start(self) -> str:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return "{}:{}".format(*self.server.sockets[0].getsockname())
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writers.append(writer)
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                path = head.decode().split(" ")[1]
-                self.paths.append(path)
-                answer = await self.handler(self, path)
-                if answer is None:
-                    return writer.close()
-                writer.write(answer)
-        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
-            writer.close()
-
-
-def http(body: Any, index: int | None = None, status: int = 200) -> bytes:
-    data = json.dumps(body).encode()
-    extra = "" if index is None else f"X-Consul-Index: {index}\r\n"
-    return f"HTTP/1.1 {status} X\r\n{extra}Content-Length: {len(data)}\r\n\r\n".encode() + data
-
-
-def notices(rev: int, *members: tuple[str, str], complete: bool = False) -> dict[str, Any]:
-    listed = [{"id": name, "host_port": "127.0.0.1:9", "locality": "z", "cell": 1, "phase": phase}
-              for name, phase in members]
-    return {"rev": rev, "notices": [{"rev": rev, "pool": {"complete": complete, "members": listed}}]}
+from tests.loopback import Stand, Story, http, notices
 
 
 class Membership(Story):
@@ -104,6 +61,31 @@
         await self.eventually(lambda: len(stand.paths) == 2)
         self.assertEqual(self.events("connection_end")[0]["reason"], "silent")
 
+    async def test_a_move_leaves_whatever_is_under_way_and_the_numbers_continue(self) -> None:
+        async def first(stand: Stand, path: str) -> bytes | None:
+            if len(stand.paths) == 1:
+                return http(notices(7, ("a", "Ready"), complete=True))
+            await asyncio.Event().wait()  # a poll is out for as long as it may be
+            return None
+
+        async def second(stand: Stand, path: str) -> bytes | None:
+            if len(stand.paths) == 1:
+                return http(notices(8, ("a", "Gone")))
+            await asyncio.Event().wait()
+            return None
+
+        told: list[int] = []
+        old, new = Stand(first), Stand(second)
+        board = Board(await old.start(), ["z"], lambda scope, desks: told.append(desks[0].availability))
+        await self.follow(board, old)
+        await self.eventually(lambda: len(old.paths) == 2)
+        board.move(await new.start())
+        self.addCleanup(new.server.close)
+        await self.eventually(lambda: len(new.paths) == 2)
+        self.assertEqual([path.split("watch=")[1][0] for path in new.paths], ["7", "8"])
+        self.assertEqual(told, [api.Availability.READY, api.Availability.GONE])
+        self.assertEqual([one["reason"] for one in self.events("connection_end")], ["replaced"])
+
     async def test_consul_joins_catalogue_and_health_and_backs_off_on_errors(self) -> None:
         told: list[tuple[int, dict[str, int]]] = []
         pauses: list[float] = []
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,7 +14,7 @@
 from click.testing import CliRunner
 
 from seamlb.cli import main
-from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, invite, silent
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, Stand, Story, http, invite, notices, silent
 from tests.support import RAW
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -109,15 +109,19 @@
                 self.assertTrue(line, f"ended before {holds!r}")
             return line
 
+    async def free_address(self) -> str:
+        free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        address = "{}:{}".format(*free.sockets[0].getsockname())
+        free.close()
+        return address
+
     async def test_sigterm_answers_what_was_taken_then_exits(self) -> None:
         desk = ScriptedDesk(silent)
         member = {"id": "d", "host_port": await desk.start(), "cell": 0, "phase": "Ready"}
         known = {"rev": 1, "notices": [{"rev": 1, "pool": {"complete": True, "members": [member]}}]}
         path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
         path.write_text(json.dumps({"settings": RAW, "known": known, "name": "n", "listen": "127.0.0.1:0"}))
-        free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        listen = "{}:{}".format(*free.sockets[0].getsockname())
-        free.close()
+        listen = await self.free_address()
         agent = await self.process("-m", "seamlb", GW_CONFIG=str(path), GW_LISTEN=listen, GW_NAME="n7")
         self.assertIn('"name":"n7"', await self.line(agent, '"serving"'))
         caller = await Peer.dial(listen)
@@ -135,6 +139,41 @@
         caller.close()
         await desk.stop()
 
+    async def test_sighup_moves_the_board_and_never_ends_the_process(self) -> None:
+        async def board(stand: Stand, path: str) -> bytes | None:
+            if len(stand.paths) > 1:
+                await asyncio.Event().wait()
+            return http(notices(3 + boards.index(stand), ("d", "Ready"), complete=True))
+
+        boards = [Stand(board), Stand(board)]
+        addresses = [await one.start() for one in boards]
+        listen = await self.free_address()
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
+        good = {"settings": RAW, "board": addresses[0], "listen": listen}
+        path.write_text(json.dumps(good))
+        agent = await self.process("-m", "seamlb", "serve", "--config", str(path))
+        await self.line(agent, '"serving"')
+        await self.eventually(lambda: len(boards[0].paths) == 2)
+        path.write_text(json.dumps(good | {"board": "nowhere"}))
+        agent.send_signal(signal.SIGHUP)
+        await self.line(agent, "board: not host:port: 'nowhere'")
+        path.write_text(json.dumps(good | {"board": addresses[1], "name": "other"}))
+        agent.send_signal(signal.SIGHUP)
+        self.assertIn('"waits_for_restart":["name"]', await self.line(agent, '"reloaded"'))
+        await self.eventually(lambda: len(boards[1].paths) == 2)
+        self.assertIn("watch=3", boards[1].paths[0])
+        caller = await Peer.dial(listen)
+        caller.send(invite(timer=100))  # keeps the drain going for a moment
+        agent.send_signal(signal.SIGTERM)
+        await self.line(agent, '"draining"')
+        agent.send_signal(signal.SIGHUP)
+        await self.line(agent, '"reloaded"')
+        self.assertEqual((await caller.next()).status, 503)
+        self.assertEqual(await asyncio.wait_for(agent.wait(), PATIENCE), 0)
+        caller.close()
+        for one in boards:
+            one.server.close()
+
     async def test_the_example_runs_as_written(self) -> None:
         desk = await self.process("examples/toy.py", "desk")
         await self.line(desk, "toy desk on")
