--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -31,7 +31,7 @@
 SPILL_BURST = 2.0  # ours: spilt calls at once
 STALL_MS = 250.0  # ours: a longer gap between two events is a stall of this node; its beat comes at half
 BEAT = 1 << 63  # the token of the beat; calls are below 2^52
-RESERVE = 0.35  # ours: roots of its lines that a server keeps, for each time that a call is worth e times less
+RESERVE = 0.35  # ours: roots of its lines kept, times the logarithm of how much less a call is worth
 BUSY_MS = 5000.0  # ours: a number whose lines are all busy is not asked for again for so long
 LINES_BUSY = 4  # wire: the note of a number whose lines are all busy
 TURNED = 4096  # ours: callers turned away that are remembered, against a flood of numbers
@@ -170,7 +170,7 @@
             for late, part in enumerate((1.0, kind.late_worth) if kind.late_worth < 1.0 else (1.0,))
         )
         self.ranks = {(place, over, late): rank for rank, (_, late, over, place) in enumerate(order)}
-        # Lines kept, in roots of a server's, from what is worth less than the cheapest class in time and share.
+        # Lines kept, in roots of a server's, from what is worth less than any call in time and in share.
         plain = min(kind.worth / kind.width for kind in settings.classes)
         self.reserve = [RESERVE * max(0.0, math.log(plain / -u)) if u and plain else 0.0 for u, *_ in order]
         self.limit_of = [self.limits.index(limit[place]) for _, _, _, place in order]
