Let idle callers give way at the cap, and bound the time of a message

At fault: net/connection.py Listener.handle_stream refused whoever came at the cap; nothing bounded the time to a whole message; finish() closed with input unread, which resets the refusal away (the test with 4 MB sees it). Now at the cap the oldest that said nothing goes first, then the one idle for longest with no set-up open; a message has 2 s to be whole, from accept or from its first byte; a refusal shuts our side, and what still comes is discarded for 1 s and 64 MB at most. Both fronts have it. Ruled out: descriptors (169 of 256) and memory (23 of 64 MB) as the cause.

--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -110,23 +110,37 @@
     async def _serve(self, connection: Connection) -> None:
         client = Client(connection)
         self.clients.add(client)
+        connection.in_use = lambda: bool(client.open)
+
+        def received(data: bytes) -> None:
+            whole = client.framer.take(
+                data, lambda message: self._request(client, message), lambda error: self._malformed(client, error)
+            )
+            connection.took(whole, bool(client.framer.data))
+            if whole:
+                self.listener.used(connection)
+
         try:
             while self.releases:
                 connection.send(self.releases.popleft())
-            await connection.run(lambda data: client.framer.take(
-                data, lambda message: self._request(client, message), lambda error: self._malformed(client, error)
-            ))
+            await connection.run(received)
         finally:
-            self.clients.discard(client)
-            for call in list(client.open.values()):
-                self._left(call, NORMAL)  # nobody can be told any more
+            self._gone(client)
+
+    def _gone(self, client: Client) -> None:
+        """Nobody can be told any more on this connection."""
+        self.clients.discard(client)
+        for call in list(client.open.values()):
+            self._left(call, NORMAL)
+        client.open.clear()
 
     def _malformed(self, client: Client, error: SipError) -> None:
         log.event("malformed", kind="client", peer=client.connection.peer, error=str(error))
         if request := error.answerable():
             client.connection.send(response(request, error.status).encode())
         if error.lost:
-            client.connection.finish(CloseReason.MALFORMED)
+            client.connection.refuse(CloseReason.MALFORMED)
+            self._gone(client)
 
     def _request(self, client: Client, message: Message) -> None:
         ident = message.get("call-id")
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -17,6 +17,14 @@
 READ_CHUNK = 64 * 1024
 MAX_UNSENT = 1024 * 1024
 WRITE_TIMEOUT = 5.0
+# From accept to the first whole message, and from a later message's first byte to its last: who says nothing or
+# never ends must be gone within 3 s. Between messages a caller may be idle for as long as there is room.
+MESSAGE_WITHIN = 2.0
+# After a refusal that ends a connection what still comes is thrown away for a while: a close with input unread
+# resets the connection, and the refusal may be lost with it.
+LINGER = 1.0
+LINGER_BYTES = 64 * 1024 * 1024
+LINGER_PAUSE = 0.002  # seconds between chunks thrown away: a flood must not take the core from good callers
 
 
 class ConnectFailed(Exception):
@@ -45,25 +53,46 @@
         self.write_timeout = write_timeout
         self.reason: CloseReason | None = None
         self.last_read = asyncio.get_running_loop().time()
+        self.asked = False  # has a whole message come on it?
+        self.ending: CloseReason | None = None  # refused: only what still comes is read
+        self.in_use: Callable[[], bool] = lambda: False  # would a close now break something off?
+        self._discarded = 0
+        self._late: asyncio.TimerHandle | None = None
         self._stuck: asyncio.TimerHandle | None = None
         self._last: asyncio.Future[None] | None = None  # the latest write not taken at once
         stream.set_nodelay(True)
 
     @property
     def closed(self) -> bool:
-        return self.reason is not None or self.stream.closed()
+        return self.reason is not None or self.ending is not None or self.stream.closed()
 
-    async def run(self, received: Callable[[bytes], None]) -> CloseReason:
+    def expect(self) -> None:
+        """A whole message must come in time from now, or the connection is closed."""
+        if self._late is None and not self.closed:
+            self._late = asyncio.get_running_loop().call_later(MESSAGE_WITHIN, self.close, CloseReason.SLOW)
+
+    def took(self, messages: int, partial: bool) -> None:
+        """So many whole messages were read just now, and perhaps a part of another, whose time runs."""
+        if messages:
+            self.asked = True
+            self._quiet()
+        if partial:
+            self.expect()
+
+    async def run(self, received: Callable[[bytes], object]) -> CloseReason:
         """Hand over bytes until the connection ends; returns why it did."""
         loop = asyncio.get_running_loop()
         try:
             while True:
                 data = await self.stream.read_bytes(READ_CHUNK, partial=True)
-                self.last_read = loop.time()
-                received(data)
+                if self.ending:
+                    await self._discard(len(data))
+                else:
+                    self.last_read = loop.time()
+                    received(data)
         except StreamClosedError as error:
             broken = isinstance(error.real_error, OSError) and error.real_error.errno != 0
-            self.close(CloseReason.PEER_RESET if broken else CloseReason.PEER_CLOSED)
+            self.close(self.ending or (CloseReason.PEER_RESET if broken else CloseReason.PEER_CLOSED))
         except StreamBufferFullError:
             self.close(CloseReason.OVERFLOW)
         except asyncio.CancelledError:
@@ -114,10 +143,45 @@
         else:
             self.close(reason)
 
+    def refuse(self, reason: CloseReason) -> None:
+        """Let what is queued out, end our side, and throw away what still comes, within bounds."""
+        if self.closed:
+            return
+        self.ending = reason
+        self._quiet()
+        flushed = self.stream.write(b"") if self.stream.writing() else None
+        if flushed:
+            flushed.add_done_callback(lambda _: self._end_ours())
+        else:
+            self._end_ours()
+
+    def _end_ours(self) -> None:
+        if self.ending is None or self.reason is not None:
+            return
+        try:
+            self.stream.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close(self.ending)
+        else:
+            self._late = asyncio.get_running_loop().call_later(LINGER, self.close, self.ending)
+
+    async def _discard(self, size: int) -> None:
+        self._discarded += size
+        if self._discarded > LINGER_BYTES and self.ending:
+            self.close(self.ending)
+        else:
+            await asyncio.sleep(LINGER_PAUSE)
+
+    def _quiet(self) -> None:
+        if self._late:
+            self._late.cancel()
+            self._late = None
+
     def close(self, reason: CloseReason) -> None:
         """End the connection; the first reason given is the one that is logged."""
         if self.reason is None:
             self.reason = reason
+            self._quiet()
             self._moved(None)
             self.stream.close()
             log.event("connection_end", kind=self.kind, peer=self.peer, reason=reason.value)
@@ -149,14 +213,14 @@
 
 
 class Listener(TCPServer):
-    """Accepts connections on one address; at most `limit` at a time."""
+    """Accepts connections on one address; at most `limit` at a time, of which idle ones give way to new ones."""
 
     def __init__(self, kind: str, limit: int, accepted: Callable[[Connection], Any]) -> None:
         super().__init__(max_buffer_size=4 * READ_CHUNK)
         self.kind = kind
         self.limit = limit
         self.accepted = accepted
-        self.open = 0
+        self.open: dict[Connection, None] = {}  # the longest without a message first
         self.port = 0
 
     def start_at(self, address: str) -> None:
@@ -175,10 +239,29 @@
         """Tornado's entry for an accepted connection."""
         stream.max_write_buffer_size = MAX_UNSENT
         connection = Connection(stream, self.kind, f"{address[0]}:{address[1]}")
-        if self.open >= self.limit:
+        if len(self.open) >= self.limit and not self._make_room():
             return connection.close(CloseReason.LIMIT)  # descriptors are kept for desks and the board
-        self.open += 1
+        self.open[connection] = None
+        connection.expect()
         try:
             await self.accepted(connection)
         finally:
-            self.open -= 1
+            self.open.pop(connection, None)
+
+    def used(self, connection: Connection) -> None:
+        """A message came on it: it is the last to give way."""
+        if connection in self.open:
+            del self.open[connection]
+            self.open[connection] = None
+
+    def _make_room(self) -> bool:
+        """Close an idle connection: the oldest that has said nothing yet, else the one idle for longest.
+
+        Guards good callers against hundreds that connect and say nothing, or ask once and stay for good.
+        """
+        idle = [one for one in self.open if not one.in_use()]
+        for one in [one for one in idle if one.ending or not one.asked] or idle[:1]:
+            del self.open[one]
+            one.close(one.ending or CloseReason.EVICTED)
+            return True
+        return False
--- a/seamlb/protocol/sip.py
+++ b/seamlb/protocol/sip.py
@@ -166,16 +166,20 @@
 
     def take(
         self, data: bytes, good: Callable[[Message], None], bad: Callable[[SipError], None]
-    ) -> None:
-        """Feed bytes and hand over what is whole, up to an error that ends the stream."""
+    ) -> int:
+        """Feed bytes and hand over what is whole, up to an error that ends the stream; how many there were."""
         self.feed(data)
+        count = 0
         for one in self.messages():
+            count += 1
             if isinstance(one, SipError):
                 bad(one)
                 if one.lost:
-                    return
+                    self.data.clear()
+                    break
             else:
                 good(one)
+        return count
 
     def messages(self) -> Iterator[Message | SipError]:
         """What is whole by now; a malformed message comes as its error."""
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -258,16 +258,24 @@
         host, port = split_address(connection.peer)
         flow, framer = Flow("TCP", (host, port), connection), Framer()
         self.connections.add(connection)
+        connection.in_use = lambda: any(
+            entry.connection is connection and entry.machine.state.name in ("TRYING", "PROCEEDING")
+            for entry in (*self.servers.values(), *self.clients.values())
+        )
 
         def malformed(error: SipError) -> None:
             self._malformed(error, flow)
             if error.lost:
-                connection.finish(CloseReason.MALFORMED)
+                connection.refuse(CloseReason.MALFORMED)
+
+        def received(data: bytes) -> None:
+            whole = framer.take(data, lambda message: self._message(message, flow), malformed)
+            connection.took(whole, bool(framer.data))
+            if whole and self.tcp:
+                self.tcp.used(connection)
 
         try:
-            await connection.run(lambda data: framer.take(
-                data, lambda message: self._message(message, flow), malformed
-            ))
+            await connection.run(received)
         finally:
             self.connections.discard(connection)
             for address in [one for one, route in self.routes.items() if route.connection is connection]:
@@ -312,6 +320,7 @@
                 self._settle(entry)
                 entry.failed(how)
 
+        entry.connection = flow.connection
         self.servers[key] = entry
         self.on_request(message, entry, flow)
 
