Ask a desk that fails many calls again, and take the last try elsewhere

Now an error bars the desk unless the desk's own share of faults, counted once a call, is over 0.3; the last attempt goes elsewhere; the draw weighs faults. Ruled out: SIGHUP, drains and the list (errors from the first second on, no reset). Counting every error let the repeats of bad callers' requests spoil healthy desks, so one call counts once.

--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -32,6 +32,8 @@
 STALL_MS = 250.0  # ours: a longer gap between two events is a stall of this node; its beat comes at half
 BEAT = 1 << 63  # the token of the beat; calls are below 2^52
 RESERVE = 0.35  # ours: roots of its lines kept, times the logarithm of how much less a call is worth
+FAULT_PART = 0.1  # ours: how much the latest answer counts in a server's share of faults
+FAULTY = 0.3  # ours: above this share a fault is the server's and not the call's
 BUSY_MS = 5000.0  # ours: a number whose lines are all busy is not asked for again for so long
 LINES_BUSY = 4  # wire: the note of a number whose lines are all busy
 TURNED = 4096  # ours: callers turned away that are remembered, against a flood of numbers
@@ -91,6 +93,7 @@
     core: Core | None = None  # where an attempt is out
     not_before: float = 0.0
     tried: list[int] = field(default_factory=list)
+    faulted: int = -1  # the server that failed it last
     ran: tuple[api.ListEntry, float] | None = None  # first attempt that may have run, and its send
 
 
@@ -114,6 +117,7 @@
     circuits: float = math.inf
     told: float = -math.inf  # when its lines were last heard of
     heard: float = -math.inf  # last answer of any kind
+    faults: float = 0.0  # share of its latest answers that were errors
 
     def x(self, awake: float) -> float:
         """Paper's x: a high quantile of delay per own set-up outstanding; nought without evidence.
@@ -141,7 +145,10 @@
         return left >= width or now - self.told > RECOVER_MS
 
     def weight(self, now: float) -> float:
-        return self.size() / (LIGHT_MS + self.wait.get(now))
+        return self.size() * (1.0 - self.faults) / (LIGHT_MS + self.wait.get(now))
+
+    def answered(self, fault: bool) -> None:
+        self.faults += FAULT_PART * (fault - self.faults)
 
 
 class Controller:
@@ -300,7 +307,7 @@
             elif self._may_send(now, call, core) and self._gate(now, core, call.rank):
                 return core
         rest = [core for core in rest if self._may_send(now, call, core)]
-        rest.sort(key=lambda core: self.rng.expovariate(core.weight(now)))
+        rest.sort(key=lambda core: self.rng.expovariate(core.weight(now) + 1e-9))
         return next((core for core in rest if self._gate(now, core, call.rank)), None)
 
     # -- guards: the five rules -----------------------------------------------------------------
@@ -425,6 +432,7 @@
             delay = min(event.delay, self.awake - pending[1])
             core.ratios.append((self.awake, delay / pending[2]))
             core.wait.put(now, delay)
+            core.answered(False)
             self.taken.put(now, self.taken.get(now) + 1.0 / FADE_MS)
             self._detect(now, core)
 
@@ -454,7 +462,15 @@
         call.core = None
         if entry and event.status not in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT) and not call.ran:
             call.ran = (entry, now - event.delay)
-        call.tried.append(event.server)
+        fault = event.status == Status.ERROR and event.note != LINES_BUSY
+        if core and fault and event.server != call.faulted:  # once a call: it may fail wherever it goes
+            call.faulted = event.server
+            core.answered(True)
+        last = call.attempts >= self.set.limits.attempts_cap - 1
+        if core is None or not fault or core.faults < FAULTY or last:
+            # A server that fails many calls may yet take this one, and the last try is another's; else a
+            # fault may be the call's own doing, and repeats would only cost work.
+            call.tried.append(event.server)
         barred = event.status in (Status.TIMEOUT, Status.RESET, Status.CANCELLED)  # rule 5
         wait = self.set.contract.clear_wait if barred else 0.0
         call.not_before = now + wait
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -435,6 +435,29 @@
     assert len(controller.turned) == 1
 
 
+def test_a_server_that_fails_many_calls_is_asked_again_and_the_last_try_goes_elsewhere() -> None:
+    # A desk with three quarters of all lines answered four of five set-ups with an error; each call that met
+    # one was turned away while half of its lines were free.
+    controller = Controller(settings(), 5)  # four attempts
+    listed(controller, 0.0, 1, 2)
+    fails = api.Status.ERROR
+    for call in range(1, 9):  # on a healthy server a fault may be the call's own: not repeated there
+        now = 10.0 * call
+        controller.handle(now, api.Sampled(2, 0, 0.0, (0.0, 100.0, -1.0)))
+        assert sent_to(controller.handle(now, demand(call))) == [1]
+        assert (sent_to(controller.handle(now + 1.0, ended(call, 1, fails))) == [1]) == (call > 3), call
+        controller.handle(now + 2.0, api.HungUp(call))
+    controller.handle(200.0, api.Sampled(2, 0, 0.0, (100.0, 100.0, -1.0)))
+    controller.cores[2].tokens = 2.0
+    assert sent_to(controller.handle(201.0, demand(99))) == [1]
+    went = [sent_to(controller.handle(202.0 + leg, ended(99, 1, fails, leg))) for leg in range(3)]
+    assert went == [[1], [1], [2]]
+    for call in range(100, 120):
+        assert sent_to(controller.handle(300.0, demand(call, kind=1))) == [1]
+        controller.handle(301.0, api.Stands(call, 0, 1, 1.0))
+    assert controller.cores[1].faults < 0.1
+
+
 def test_a_number_whose_lines_are_all_busy_is_left_alone_for_a_while() -> None:
     controller = Controller(settings(), 5)
     listed(controller, 0.0, 1, 2)
