Tell a lost answer from a jam, and call off the set-up that it leaves behind

At fault: control.py x() took the oldest set-up's age whatever was answered since; _ended took every time-out for a jam; silent() ended with the last time-out and waited for the longest aim. Now a set-up that a later one overtook counts neither as delay nor as a jam, and after three it is called off while the call can stand in time; silence counts from the tightest aim; a desk silent through a time-out gets one call in 5 s.

--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -32,6 +32,8 @@
 STALL_MS = 250.0  # ours: a longer gap between two events is a stall of this node; its beat comes at half
 BEAT = 1 << 63  # the token of the beat; calls are below 2^52
 RESERVE = 0.35  # ours: roots of its lines kept, times the logarithm of how much less a call is worth
+OVERTAKEN = 3  # ours: a set-up that so many later ones overtook is lost: a processor takes them in turn
+OVERTAKEN_MS = 50.0  # ours: how much later they must have been sent; what travels may change places
 FAULT_PART = 0.1  # ours: how much the latest answer counts in a server's share of faults
 FAULTY = 0.3  # ours: above this share a fault is the server's and not the call's
 BUSY_MS = 5000.0  # ours: a number whose lines are all busy is not asked for again for so long
@@ -90,6 +92,7 @@
     since: float  # clock time of the first try
     over: int  # 1 if the first try went beyond its tenant's share
     attempts: int = 0
+    overtaken: int = 0  # later set-ups there that were answered before it
     core: Core | None = None  # where an attempt is out
     not_before: float = 0.0
     tried: list[int] = field(default_factory=list)
@@ -117,6 +120,9 @@
     circuits: float = math.inf
     told: float = -math.inf  # when its lines were last heard of
     heard: float = -math.inf  # last answer of any kind
+    passed: float = -math.inf  # when the latest set-up that was answered had been sent
+    lost: float = -math.inf  # when a set-up last ran out of time with nothing heard since
+    sent: float = -math.inf  # latest set-up
     faults: float = 0.0  # share of its latest answers that were errors
 
     def x(self, awake: float) -> float:
@@ -124,7 +130,8 @@
 
         The oldest unanswered counts by age: a server that stops sends no delays; harms in an idle time.
         """
-        ages = [(awake - sent) / out for _, sent, out in self.pending.values()]
+        # One that a later one overtook is lost, not waiting in a queue.
+        ages = [(awake - sent) / out for _, sent, out in self.pending.values() if sent >= self.passed]
         ratios = sorted(ratio for at, ratio in self.ratios if awake - at < RECOVER_MS)
         return max(ages[:1] + ratios[int(len(ratios) * QUANTILE):][:1], default=0.0)
 
@@ -132,7 +139,12 @@
         return self.circuits if 0 < self.circuits < math.inf else 1.0
 
     def silent(self, now: float, awake: float, patience: float) -> bool:
-        """Nothing back since the oldest set-up unanswered; harms when a queue jumps between answers."""
+        """Nothing back since the oldest set-up unanswered; harms when a queue jumps between answers.
+
+        One that let a set-up run out of time so gets one call now and then until it is heard again.
+        """
+        if self.heard < self.lost:
+            return bool(self.pending) or awake - self.sent < RECOVER_MS
         oldest = next((sent for _, sent, _ in self.pending.values()), math.inf)
         return self.heard <= oldest and awake - oldest > max(patience, SILENT_TIMES * self.wait.get(now))
 
@@ -328,11 +340,11 @@
             same = {"all": True, "zone": old.zone == entry.zone, "cell": old.cell == entry.cell}[kind.group]
             if kind.effect == "single_shot" or not same or now >= sent + kind.window:
                 return False
-        return not core.silent(now, self.awake, self.limits[-1]) and self._room(now, core, spills)
+        return not core.silent(now, self.awake, self.limits[0]) and self._room(now, core, spills)
 
     def _hear(self, now: float, core: Core) -> None:
         """Heard again after a long silence it counts as cold; harms when it was only out of reach."""
-        if self.awake - core.heard > RECOVER_MS and core.silent(now, self.awake, self.limits[-1]):
+        if self.awake - core.heard > RECOVER_MS and core.silent(now, self.awake, self.limits[0]):
             core.cold_from, core.tokens, core.filled = now, self.rng.random(), now
         core.heard = self.awake
 
@@ -362,9 +374,10 @@
             core.opens[call.rank] = now + gap - (now - core.opens[call.rank]) % gap
         core.tokens -= 1.0
         call.attempts += 1
-        call.core = core
+        call.core, call.overtaken = core, 0
         due = now + min(self.limits[self.limit_of[call.rank]], left)
         core.pending[call.ident] = (due, self.awake, len(core.pending) + 1)
+        core.sent = self.awake
         self.out.append(api.CallOut(call.ident, core.entry.server, left))
         self._detect(now, core)
 
@@ -433,17 +446,36 @@
             core.ratios.append((self.awake, delay / pending[2]))
             core.wait.put(now, delay)
             core.answered(False)
+            self._overtake(core, pending[1])
             self.taken.put(now, self.taken.get(now) + 1.0 / FADE_MS)
             self._detect(now, core)
 
+    def _overtake(self, core: Core, sent: float) -> None:
+        """An answer came to a set-up sent at `sent`: those sent before it that it overtook may be lost.
+
+        A lost one is called off while its call can still stand in time elsewhere.
+        """
+        core.passed = max(core.passed, sent)
+        for ident, (_, before, _) in list(core.pending.items()):
+            if before >= sent - OVERTAKEN_MS:
+                break
+            call = self.calls.get(ident)
+            if call and call.core is core:
+                call.overtaken += 1
+                if call.overtaken == OVERTAKEN and self.set.limits.cancel:
+                    self.out.append(api.Withdraw(ident, call.attempts - 1))
+
     def _ended(self, now: float, event: api.Ended) -> None:
         self._report(now, event.server, event.report)
         core = self.cores.get(event.server)
         if core and event.report:
             self._hear(now, core)
-        if core and core.pending.pop(event.call, None) is not None:
+        if core and (pending := core.pending.pop(event.call, None)):
             turned_away = event.status == Status.FULL and event.note & 15 == PROCESSOR_FULL
-            if turned_away or event.status == Status.TIMEOUT:
+            missed = event.status == Status.TIMEOUT and pending[1] >= core.passed
+            if missed and core.heard <= pending[1]:
+                core.lost = self.awake
+            if turned_away or missed:
                 # Its limit was missed for certain, yet it leaves N and never enters x. Guards against a
                 # jam that (4) and (6) cannot see, slow or silent servers too; harms on a lossy line.
                 core.verdicts.extend([2] * STREAK)
