End the drain by itself, and say when to come back at the open cap

Seen in the source, confirmed by tests: run() waited for the last answer with no bound (a caller may wait 5 s; SIGKILL comes 3.7 s after SIGTERM); Agent.take at its cap refused without a Retry-After; the board's pause and connect time could together pass 2 s after a break. Now the drain fails what is left 3.4 s after SIGTERM at the latest; the cap says 1 s; the pause ends at 0.5 s.

--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -23,6 +23,8 @@
 from seamlb.sip.endpoint import SipEndpoint
 
 KEEP_TAKING = 0.7  # seconds after SIGTERM in which requests still come
+DRAIN_MOST = 3.0  # seconds: SIGKILL comes no sooner than the longest deadline, or this, and KEEP_TAKING after SIGTERM
+DRAIN_MARGIN = 0.3  # of that, kept for the last answers' way out
 CLIENT_SHARE = 0.6  # part of the descriptors that callers may hold; the platform says they take a third
 MAX_DATAGRAM = 256
 
@@ -160,7 +162,13 @@
         self.front.stop_listening()
         if self.sip:
             self.sip.stop_listening()
-        await self.agent.idle.wait()
+        longest = max(kind.deadline for kind in self.config.settings.classes) / 1000.0
+        try:
+            await asyncio.wait_for(self.agent.idle.wait(), max(0.0, min(longest, DRAIN_MOST) - DRAIN_MARGIN))
+        except TimeoutError:
+            log.event("drain_late", open=self.agent.unanswered)
+            self.agent.give_up()
+            await self.agent.idle.wait()
         await self.close()
         # The loop puts the default back when it closes: a SIGHUP until the exit must not end the drain as a crash.
         loop.remove_signal_handler(signal.SIGHUP)
--- a/seamlb/membership/board.py
+++ b/seamlb/membership/board.py
@@ -16,7 +16,7 @@
 
 LINGER = 2.0  # seconds that the board may wait for news
 SILENCE = 1.5  # seconds beyond that before a poll counts as silent; a drain must be known within 7 s
-RETRY_FIRST, RETRY_MOST = 0.1, 1.0
+RETRY_FIRST, RETRY_MOST = 0.1, 0.5  # with the time to connect, under 2 s: what a break hides counts as told then
 PHASES = {"Ready": Availability.READY, "Terminating": Availability.DRAINING, "Gone": Availability.GONE}
 
 Changed = Callable[[Scope, Sequence[Desk]], None]
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -12,6 +12,8 @@
 from seamlb.control import Controller
 from seamlb.routing.model import Answer, Attempt, Caller, Desk, DeskClient, Outcome, Peers, Request
 
+FULL_MS = 1000.0  # when to come back to an agent that holds all the calls it may
+
 
 def key_of(number: str) -> int:
     """The number called as the module sees it; any text a caller may send has one."""
@@ -167,7 +169,7 @@
     def take(self, request: Request, caller: Caller) -> Life | None:
         """Take a request; its final answer comes by `caller`. None: answered already, too many open."""
         if self.unanswered >= self.max_open:
-            caller.refused(0.0)
+            caller.refused(FULL_MS)
             return None
         self.taken += 1
         self.unanswered += 1
@@ -179,6 +181,12 @@
         task.add_done_callback(self.tasks.discard)
         return life
 
+    def give_up(self) -> None:
+        """The process ends: whoever has no answer by now is told that the call failed."""
+        for life in list(self.lives.values()):
+            if not life.answered:
+                life.news.put_nowait(api.ReportFailure(life.number))
+
     def caller_left(self, life: Life, cause: int = 16) -> None:
         """A front tells that the caller gave the request up, or released the call."""
         life.news.put_nowait(CallerLeft(cause))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -71,6 +71,16 @@
         caller.send(invite())
         self.assertIn((await caller.until(503)).get("retry-after"), ("1", "2"))
 
+    async def test_an_agent_that_holds_all_it_may_says_when_to_come_back(self) -> None:
+        limits = {"AttemptsCap": 4, "MaxRetryAfter": 2000.0, "MaxOpen": 1}
+        desk = ScriptedDesk(silent)
+        await self.start(desk, settings={"Limits": limits})
+        caller = await self.caller()
+        caller.send(invite())
+        await desk.until("INVITE")
+        caller.send(invite("00000000000000a2"))
+        self.assertEqual((await caller.until(503)).get("retry-after"), "1")
+
     async def test_a_caller_that_gives_up_cancels_the_attempt(self) -> None:
         desk = ScriptedDesk(silent)
         await self.start(desk)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -126,17 +126,22 @@
         self.assertIn('"name":"n7"', await self.line(agent, '"serving"'))
         caller = await Peer.dial(listen)
         caller.send(invite(timer=1500))
-        await desk.until("INVITE")
+        patient = await Peer.dial(listen)
+        patient.send(invite("00000000000000a3", timer=9000))
+        for _ in range(2):
+            await desk.until("INVITE")
         agent.send_signal(signal.SIGTERM)
         await self.line(agent, '"draining"')
         late = await Peer.dial(listen)
         late.send(invite("00000000000000a2", timer=100))
         self.assertEqual((await late.next()).status, 503)
         self.assertEqual((await caller.next()).status, 503)
+        self.assertEqual((await patient.next()).status, 500)  # the drain ends by itself, before its time is over
+        await self.line(agent, '"drain_late"')
         await self.line(agent, '"ended"')
         self.assertEqual(await asyncio.wait_for(agent.wait(), PATIENCE), 0)
-        late.close()
-        caller.close()
+        for one in (late, caller, patient):
+            one.close()
         await desk.stop()
 
     async def test_sighup_moves_the_board_and_never_ends_the_process(self) -> None:
