Leave a connection on which a desk's news do not come, and forget desks that are gone

Probe: the desk with 109 of 143 lines had one connection go silent; eight set-ups on it waited 1.9 s for their time-outs, the module took them for a jam and gapped that desk for 5 s while 81 of its lines were free. At fault: desks/platform.py opened a second connection after 1.5 s (0.4 s since the last change) but left the set-ups on the first. Now, when the desk's state comes on one connection and not within 0.1 s on another, that one is closed; a silent one is tested after 0.25 s. Also: Agent forgot no desk id; now it does when nothing of it stands, and no number is given twice (a test goes through 2,000 ids); a flood on one connection lets the others have their turn every 16 KB.

--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -20,8 +20,9 @@
 CUT = 41  # Q.850 cause of a call that was cut
 NORMAL = 16
 RETRY_FIRST, RETRY_MOST = 0.1, 1.0  # seconds between tries to connect
-SUSPECT = 0.4  # seconds without a byte, with a set-up out, before a second connection tests the first
+SUSPECT = 0.25  # seconds without a byte, with a set-up out, before a second connection tests the first
 UNREACHABLE = 6.0  # seconds without a way to a desk before its standing calls count as cut
+DEAF = 0.1  # seconds for news of the state to come on the other connections too, as a desk tells it on each
 PART_WITHIN = 0.25  # seconds for the rest of a message: an answer that stops short makes its connection useless
 BROKEN = (CloseReason.PEER_RESET, CloseReason.PEER_CLOSED)  # a new connection's bad luck, once: no sign of the desk
 REMEMBER = 30.0  # seconds for which a leg that is over is known
@@ -213,6 +214,15 @@
             now - leg.sent > SUSPECT for leg in self._legs_on(newest) if not leg.stands
         )
 
+    def _deaf(self, link: Link, told: float) -> None:
+        """The desk told its state at `told`: a connection that this did not come on is of no use any more.
+
+        Guards the set-ups on it, which would wait for their time-outs while the desk answers on another one.
+        """
+        for connection in link.open[:]:
+            if connection.last_read < told - DEAF:
+                connection.close(CloseReason.SILENT)
+
     def _opened(self, link: Link, connection: Connection) -> None:
         link.open.append(connection)
         link.lost_at, link.dead = None, False
@@ -361,6 +371,9 @@
             if connection not in link.open and not link.gone:
                 self._opened(link, connection)
                 link.told.set()
+            elif len(link.open) > 1:
+                loop = asyncio.get_running_loop()
+                loop.call_later(DEAF, self._deaf, link, loop.time())
             if report := parse_report(message.get("x-occupancy"), self.fields):
                 self.sampled(link.desk.ident, report)
         elif message.method == "BYE":
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -15,6 +15,7 @@
 from seamlb.net.reason import CloseReason
 
 READ_CHUNK = 64 * 1024
+TURN = 16 * 1024  # bytes read from one connection before the others have their turn, as floods come
 MAX_UNSENT = 1024 * 1024
 WRITE_TIMEOUT = 5.0
 # From accept to the first whole message, and from a later message's first byte to its last: who says nothing or
@@ -87,12 +88,14 @@
         loop = asyncio.get_running_loop()
         try:
             while True:
-                data = await self.stream.read_bytes(READ_CHUNK, partial=True)
+                data = await self.stream.read_bytes(TURN, partial=True)
                 if self.ending:
                     await self._discard(len(data))
                 else:
                     self.last_read = loop.time()
                     received(data)
+                    if len(data) == TURN:  # a read of what is buffered already would not let go of the loop
+                        await asyncio.sleep(0)
         except StreamClosedError as error:
             broken = isinstance(error.real_error, OSError) and error.real_error.errno != 0
             self.close(self.ending or (CloseReason.PEER_RESET if broken else CloseReason.PEER_CLOSED))
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
@@ -66,6 +67,7 @@
     news: asyncio.Queue[News] = field(default_factory=asyncio.Queue)
     attempt: Attempt | None = None  # the one slot: never two attempts at once (rule 1)
     attempts: int = 0
+    server: int = -1  # the module's number for the attempt's desk
     sent: float = 0.0  # clock time of the attempt
     answered: bool = False
     stood: bool = False
@@ -90,8 +92,12 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.taken = 0
         self.unanswered = 0
-        self.numbers: dict[str, int] = {}  # desk id: the module's number, the same after a restart
-        self.names: list[str] = []
+        # Desk ids and the module's numbers, kept while the desk is listed or has an attempt or a call that
+        # stands: desks are replaced all day. A number is never given twice.
+        self.numbers: dict[str, int] = {}
+        self.names: dict[int, str] = {}
+        self.next_number = 0
+        self.held: Counter[str] = Counter()  # attempts and calls that stand, by desk
         self.listed: dict[str, Desk] = {}
         self.idle = asyncio.Event()
         self.idle.set()
@@ -112,7 +118,7 @@
                     if self.peers:
                         self.peers.send(target, payload)
                 case api.FreeLinks(server):
-                    if self.desks:
+                    if self.desks and server in self.names:
                         self.desks.free(self.names[server])
                 case api.Log(text):
                     log.event("module", text=text)
@@ -148,13 +154,29 @@
             self.listed[desk.ident] = desk
         if self.desks:
             self.desks.listed(desk)
+        self._forget(desk.ident)
 
     def _number(self, ident: str) -> int:
         if ident not in self.numbers:
-            self.numbers[ident] = len(self.names)
-            self.names.append(ident)
+            self.numbers[ident] = self.next_number
+            self.names[self.next_number] = ident
+            self.next_number += 1
         return self.numbers[ident]
 
+    def _forget(self, ident: str) -> None:
+        """Forget a desk of which nothing is left."""
+        if ident not in self.listed and not self.held[ident]:
+            del self.held[ident]
+            if (number := self.numbers.pop(ident, None)) is not None:
+                del self.names[number]
+
+    def _vacate(self, life: Life) -> Attempt | None:
+        """Empty a life's slot."""
+        attempt, life.attempt = life.attempt, None
+        if attempt:
+            self.held[attempt.desk] -= 1
+        return attempt
+
     def sampled(self, desk: str, report: tuple[float, ...]) -> None:
         """Unasked news of a desk's free agents."""
         if desk in self.numbers:
@@ -238,8 +260,10 @@
         """Carry out one attempt to its answer or outcome; an attempt that is left early is called off."""
         assert self.desks is not None and life.attempt is None
         within = out.within or life.request.patience_ms
-        attempt = Attempt(life.request, life.attempts, self.names[out.server], within)
-        life.attempt, life.sent = attempt, self.clock()
+        # A desk may have gone, and be forgotten, since the module named it: then no connection comes up.
+        attempt = Attempt(life.request, life.attempts, self.names.get(out.server, ""), within)
+        life.attempt, life.server, life.sent = attempt, out.server, self.clock()
+        self.held[attempt.desk] += 1
         life.attempts += 1
         timer = asyncio.get_running_loop().call_later(
             max(0.0, within) / 1000.0, life.news.put_nowait, TimedOut(attempt.leg)
@@ -274,7 +298,7 @@
         """The call stands: pass the answer on, then wait for the release from either side."""
         assert self.desks is not None and life.attempt is not None
         told = self._answer(life, answer)
-        self.feed(api.Stands(life.number, life.attempt.leg, self.numbers[life.attempt.desk], self._delay(life)))
+        self.feed(api.Stands(life.number, life.attempt.leg, life.server, self._delay(life)))
         while told == "stands":
             match await life.news.get():
                 case Heard(leg, Outcome() as outcome) if leg == life.attempt.leg:
@@ -312,14 +336,14 @@
 
     def _ended(self, life: Life, outcome: Outcome, final: bool) -> None:
         """Tell the module how the attempt in the slot ended, and empty the slot."""
-        attempt = life.attempt
+        attempt = self._vacate(life)
         if attempt is None:
             return
-        life.attempt = None
         self.feed(api.Ended(
-            life.number, attempt.leg, self.numbers[attempt.desk], outcome.status, final, self._delay(life),
+            life.number, attempt.leg, life.server, outcome.status, final, self._delay(life),
             outcome.note, outcome.report,
         ))
+        self._forget(attempt.desk)
 
     def _delay(self, life: Life) -> float:
         return self.clock() - life.sent
@@ -332,6 +356,8 @@
 
     def _close(self, life: Life, result: str) -> None:
         del self.lives[life.number]
+        if left := self._vacate(life):
+            self._forget(left.desk)
         life.closed()
         log.event(
             "call_end", call=life.request.ident, kind=life.request.class_name,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import time
+from dataclasses import replace
 from unittest import mock
 
 from seamlb import api
@@ -11,6 +12,7 @@
 from seamlb.net.connection import ConnectFailed, Connection, Listener, connect
 from seamlb.net.reason import CloseReason
 from seamlb.routing.agent import Clock
+from seamlb.routing.model import Desk
 from tests.loopback import Peer, ScriptedDesk, Story, Udp, config, invite, plain, silent
 
 
@@ -183,6 +185,36 @@
         self.assertEqual(seen, [api.PeerNote(1, b"hi")])
 
 
+class LongDays(Story):
+    async def test_of_thousands_of_desks_that_came_and_went_nothing_remains(self) -> None:
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        agent, desks = daemon.agent, daemon.desks
+        caller = await self.caller()
+        for turn in range(2000):
+            ident, gone = f"{turn:016x}", api.Availability.GONE
+            here = Desk(f"x{turn}", desk.address, 0, 0, api.Availability.READY, 0.0)
+            if turn % 100:
+                agent.list_changed(api.Scope.DELTA, [here, replace(here, availability=gone)])
+                continue
+            agent.list_changed(api.Scope.DELTA, [self.desk(0, desk.address, gone), here])
+            core = agent.module.cores[agent.numbers[here.ident]]
+            core.cold_from, core.tokens = float("-inf"), 2.0
+            caller.send(invite(ident))
+            await caller.until(200)
+            agent.list_changed(api.Scope.DELTA, [replace(here, availability=gone), self.desk(0, desk.address)])
+            self.assertIn("cause=41", (await caller.until("BYE")).get("reason"))
+            await self.eventually(lambda: not agent.lives)
+        self.assertEqual(list(agent.numbers), ["d0"])
+        self.assertEqual(list(agent.names), list(agent.numbers.values()))
+        self.assertEqual(agent.next_number, 2021)  # 2,000 desks, and d0 anew each time: no number was given twice
+        self.assertEqual((len(agent.listed), len(agent.module.cores), len(desks.links)), (1, 1, 1))
+        for left in (agent.lives, agent.module.calls, agent.module.turned, +agent.held, desks.legs,
+                     daemon.front.calls, daemon.front.releases):
+            self.assertFalse(left)
+        await self.eventually(lambda: len(desks.tasks) <= 2 and len(agent.tasks) == 0)  # one keeper, one reader
+
+
 class Clocks(Story):
     def test_the_modules_clock_never_goes_back(self) -> None:
         clock = Clock()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -247,6 +247,19 @@
         self.assertEqual({(one.method, one.get("call-id")) for one in sent if one.method},
                          {("INVITE", ID), ("ACK", ID)})
 
+    async def test_a_connection_on_which_nothing_comes_is_left_when_the_desk_tells_its_state_on_another(self) -> None:
+        # Its set-ups waited for their time-outs, which the module took for a jam of a desk that answered
+        # all the time on other connections.
+        desk, other = ScriptedDesk(silent), ScriptedDesk()
+        daemon = await self.start(desk, other)
+        caller = await self.caller()
+        caller.send(invite(timer=9000))
+        await self.eventually(lambda: len(daemon.desks.links["d0"].open) == 2)
+        state = [("Call-ID", "0"), ("CSeq", "1 NOTIFY"), ("X-Occupancy", "idle:4;circuits:5")]
+        desk.peers[1].send(Message("NOTIFY", "sip:exchange@net", headers=state))
+        self.assertEqual((await caller.until(200)).body, SDP)
+        self.assertEqual([one["reason"] for one in self.events("connection_end")], ["silent"])
+
     async def test_a_desk_that_hangs_is_left_though_its_connections_come_up(self) -> None:
         hangs, good = ScriptedDesk(silent), ScriptedDesk()
         daemon = await self.start(hangs, good)
