Keep places and releases for callers that were served

At fault: net/connection.py _make_room (asked or not was all it knew) and fronts/platform.py release (any connection that had asked). Now a connection on which a call stood gives way last, and releases go to such a one; without one for 0.5 s to any that asked, as after a restart. The test of the story fails without the change.

--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import re
 from collections import deque
@@ -20,6 +21,7 @@
 ALLOW = ("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
 NORMAL = 16
 PENDING_RELEASES = 4096
+UNTOLD = 0.5  # seconds that a release waits for a caller known to be one; it must be told within 1 s
 IDENT = re.compile(r"[0-9A-Fa-f]{16}")  # PROTOCOL: a message names its call by 16 hex digits
 NUMBER = re.compile(r"[0-9A-Za-z+*#._-]{1,64}")  # what goes on to desks as it is
 MOST_BODY = MAX_MESSAGE - 1024  # the rest is for the headers that we write
@@ -50,7 +52,11 @@
         return self.client.connection.send(message.encode())
 
     def stands(self, description: bytes) -> bool:
-        return self._final(response(self.invite, 200, body=description))
+        told = self._final(response(self.invite, 200, body=description))
+        if told:
+            self.client.connection.credit = 2  # a desk took its call: this is a caller
+            self.front.flush()
+        return told
 
     def refused(self, back_off_ms: float) -> None:
         extra = [("Retry-After", str(math.ceil(back_off_ms / 1000.0)))] if back_off_ms > 0 else []
@@ -73,7 +79,7 @@
         self.clients: set[Client] = set()
         self.calls: dict[str, Call] = {}
         self.spoilt: dict[str, None] = {}
-        self.releases: deque[bytes] = deque(maxlen=PENDING_RELEASES)  # for the next connection
+        self.releases: deque[tuple[float, bytes]] = deque(maxlen=PENDING_RELEASES)  # when, for the next connection
         self.classes = {kind.name: place for place, kind in enumerate(agent.settings.classes)}
         self.tenants = {name: place for place, name in enumerate(tenants)}
         self.lag: Lag | None = None
@@ -104,12 +110,25 @@
             ("Reason", f"Q.850;cause={cause}"),
         ])
         data = message.encode()
-        # Who never asked for anything is not taken for a caller: a release told to it would be lost.
-        asked = [one for one in reversed(self.listener.open) if one.asked and one is not (first and first.connection)]
-        for connection in ([first.connection] if first else []) + asked:
-            if connection.send(data):
+        if first and first.connection.send(data):
+            return
+        # On any connection of callers; but a bad one's, or one of a crowd that only asks, would lose it.
+        now = asyncio.get_running_loop().time()
+        self.releases.append((now, data))
+        self.flush()
+        if self.releases:
+            asyncio.get_running_loop().call_later(UNTOLD, self.flush)
+
+    def flush(self) -> None:
+        """Tell the releases that wait: to whoever had a call stand, in need to whoever asked for something."""
+        now = asyncio.get_running_loop().time()
+        while self.releases:
+            at, data = self.releases[0]
+            least = 2 if now - at < UNTOLD - 0.01 else 1
+            able = [one for one in reversed(self.listener.open) if one.credit >= least]
+            if not any(one.send(data) for one in sorted(able, key=lambda one: -one.credit)):
                 return
-        self.releases.append(data)
+            self.releases.popleft()
 
     async def _serve(self, connection: Connection) -> None:
         client = Client(connection)
@@ -123,8 +142,7 @@
             connection.took(whole, bool(client.framer.data))
             if whole and not connection.closed:
                 self.listener.used(connection)
-                while self.releases:
-                    connection.send(self.releases.popleft())
+                self.flush()
 
         try:
             await connection.run(received)
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -55,7 +55,7 @@
         self.message_within = MESSAGE_WITHIN
         self.reason: CloseReason | None = None
         self.last_read = asyncio.get_running_loop().time()
-        self.asked = False  # has a whole message come on it?
+        self.credit = 0  # 1: a whole message has come on it; 2: its user found it good
         self.ending: CloseReason | None = None  # refused: only what still comes is read
         self.in_use: Callable[[], bool] = lambda: False  # would a close now break something off?
         self._discarded = 0
@@ -78,7 +78,7 @@
     def took(self, messages: int, partial: bool) -> None:
         """So many whole messages were read just now, and perhaps a part of another, whose time runs."""
         if messages:
-            self.asked = True
+            self.credit = max(self.credit, 1)
             self._quiet()
         if partial:
             self.expect()
@@ -261,13 +261,15 @@
             self.open[connection] = None
 
     def _make_room(self) -> bool:
-        """Close an idle connection: the oldest that has said nothing yet, else the one idle for longest.
+        """Close an idle connection: of least credit, and of these the one idle for longest.
 
-        Guards good callers against hundreds that connect and say nothing, or ask once and stay for good.
+        Guards good callers against hundreds that connect and say nothing, or ask once and stay for good: who has
+        been served gives way last.
         """
         idle = [one for one in self.open if not one.in_use()]
-        for one in [one for one in idle if one.ending or not one.asked] or idle[:1]:
-            del self.open[one]
-            one.close(one.ending or CloseReason.EVICTED)
-            return True
-        return False
+        if not idle:
+            return False
+        one = min(idle, key=lambda one: -1 if one.ending else one.credit)  # of equals the first, so the oldest
+        del self.open[one]
+        one.close(one.ending or CloseReason.EVICTED)
+        return True
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -120,6 +120,24 @@
         mute.send(plain("OPTIONS", "t"))
         self.assertEqual((await mute.next()).status, 200)
 
+    async def test_in_a_crowd_releases_and_places_are_kept_for_callers_that_were_served(self) -> None:
+        # A good caller's idle connection gave way to a crowd that asked once, and the release went to one of these.
+        desk = ScriptedDesk()
+        daemon = await self.start(desk, limits={"sockets": 5})  # 3 callers
+        first, second = await self.caller(), await self.caller()
+        for caller, ident in ((first, ID), (second, "00000000000000a2")):
+            caller.send(invite(ident))
+            await caller.until(200)
+        for _ in range(4):
+            crowd = await self.caller()
+            crowd.send(plain("OPTIONS", "t"))
+            await crowd.until(200)
+        self.assertEqual([one["reason"] for one in self.events("connection_end")], ["evicted"] * 3)
+        first.close()
+        await self.eventually(lambda: len(daemon.front.clients) == 2)
+        desk.peers[0].send(bye(ID, 16))
+        self.assertEqual((await second.until("BYE")).get("call-id"), ID)
+
     async def test_the_release_of_a_call_from_before_a_restart_is_passed_on(self) -> None:
         desk = ScriptedDesk()
         await self.start(desk)
