--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -522,9 +522,8 @@
             return
         seen = dict(zip(self.set.fields, report, strict=False))
         if "idle" in seen:
-            self.lines -= core.size()
             core.idle, core.circuits, core.told = seen["idle"], seen.get("circuits", core.circuits), now
-            self.lines += core.size()
+            self._count()
         if 0.0 <= seen.get("avg_ms", -1.0) < math.inf:
             core.wait.put(now, seen["avg_ms"])
 
@@ -550,5 +549,10 @@
                 self.cores[entry.server] = new
             else:
                 core.entry = entry
-        self.lines = sum(core.size() for core in self.cores.values())
+        self._count()
         self.listed = True
+
+    def _count(self) -> None:
+        """Lines of the servers that take new calls: a draining one's share of the work is the others' now."""
+        ready = (one for one in self.cores.values() if one.entry.availability == api.Availability.READY)
+        self.lines = sum(one.size() for one in ready)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -269,6 +269,18 @@
     assert sent_to(controller.handle(440.0, demand(9))) == [1]
 
 
+def test_a_draining_servers_lines_do_not_shrink_the_others_part() -> None:
+    controller = Controller(settings(), 5)
+    listed(controller, 0.0, 1, 2)
+    for server, lines in ((1, 30.0), (2, 90.0)):
+        controller.handle(1.0, api.Sampled(server, 0, 0.0, (lines, lines, -1.0)))
+    assert controller.lines == 120.0
+    controller.handle(2.0, api.ListChange(api.Scope.DELTA, (entry(2, api.Availability.DRAINING),)))
+    assert controller.lines == 30.0
+    controller.handle(3.0, api.Sampled(2, 0, 0.0, (50.0, 90.0, -1.0)))
+    assert controller.lines == 30.0
+
+
 def test_a_server_heard_again_after_long_silence_counts_as_cold() -> None:
     controller = Controller(settings(), 5)
     listed(controller, 0.0, 1)
