Write no set-up to a connection that its desk has ended already

At fault: desks/platform.py _usable asked only what the loop knew. Now the socket is asked (MSG_PEEK) before a set-up is written.

--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -309,7 +309,7 @@
                 leg.heard(leg.attempt.leg, Outcome(Status.RESET, cause=CUT))
 
     def _usable(self, link: Link) -> Connection | None:
-        return next((one for one in reversed(link.open) if not one.closed), None)
+        return next((one for one in reversed(link.open) if not one.over()), None)
 
     def _legs_on(self, connection: Connection) -> list[Leg]:
         return [leg for leg in self.legs.values() if leg.connection is connection and not leg.stands]
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -68,6 +68,18 @@
     def closed(self) -> bool:
         return self.reason is not None or self.ending is not None or self.stream.closed()
 
+    def over(self) -> bool:
+        """Has the other side ended it, though the loop has not come to that yet?
+
+        Guards what must not be sent twice: written now, nobody could tell whether it had been read.
+        """
+        try:
+            return self.closed or self.stream.socket.recv(1, socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def expect(self) -> None:
         """A whole message must come in time from now, or the connection is closed."""
         if self._late is None and not self.closed:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,8 +1,10 @@
 """Stories of the platform's front and desk client over loopback."""
 
+import socket
 
 from seamlb import api
 from seamlb.protocol.sip import Message
+from seamlb.routing.model import Answer, Attempt
 from tests.loopback import SDP, Peer, ScriptedDesk, Story, bye, invite, plain, refuse, reply, silent
 from tests.support import RAW
 
@@ -278,6 +280,17 @@
         self.assertEqual((await caller.until(200)).body, SDP)
         self.assertEqual([one["reason"] for one in self.events("connection_end")], ["silent"])
 
+    async def test_nothing_is_written_to_a_connection_that_the_desk_has_ended_already(self) -> None:
+        # A set-up written there might have been read: one that may not be repeated had failed for nothing.
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        heard: list[object] = []
+        request = daemon.front._read(invite(), ID)
+        desk.peers[0].writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)  # our loop has not seen it yet
+        daemon.desks.set_up(Attempt(request, 0, "d0", 3000.0), lambda leg, what: heard.append(what))
+        await self.eventually(lambda: heard)
+        self.assertEqual(heard, [Answer(SDP)])
+
     async def test_a_desk_that_hangs_is_left_though_its_connections_come_up(self) -> None:
         hangs, good = ScriptedDesk(silent), ScriptedDesk()
         daemon = await self.start(hangs, good)
