--- a/seamlb/cli.py
+++ b/seamlb/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import logging
 import sys
 from collections.abc import Callable
@@ -19,6 +20,7 @@
 )
 
 
+LAZY = {"plan": ("seamlb.planning.command", "plan", "plan")}  # module, name, extra
 PLUGINS = click.option(
     "--plugins", envvar="SEAMLB_PLUGINS", default="", metavar="FILE",
     help="A TOML file of plug-ins: sip front, sip desks, Consul, hook. Without it all are off.",
@@ -49,7 +51,26 @@
     return lambda: Daemon(loaded, extras, lambda: _read(path, plugins, listen, name))
 
 
-@click.group(invoke_without_command=True)
+class Commands(click.Group):
+    """Loads the planner's commands only when they are asked for: serving must not pay for their libraries."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *LAZY])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in LAZY:
+            return super().get_command(ctx, cmd_name)
+        module, name, extra = LAZY[cmd_name]
+        try:
+            command = getattr(importlib.import_module(module), name)
+        except ModuleNotFoundError as error:
+            click.echo(f"seamlb: {error.name} is missing; install seamlb[{extra}]", err=True)
+            sys.exit(2)
+        assert isinstance(command, click.Command)
+        return command
+
+
+@click.group(invoke_without_command=True, cls=Commands)
 @click.pass_context
 def main(context: click.Context) -> None:
     """A call agent for duty desks; without a command it serves."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,6 +1,8 @@
 """Imports point downwards only."""
 
 import ast
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -13,10 +15,11 @@
     "routing": {"api", "control", "log"},
     "sip": {"log", "net", "protocol"},
     "fronts": WIRES | {"api"}, "desks": WIRES, "membership": WIRES,
+    "planning": {"api", "log"},
     "hook": {"log"},
     "config": {"api", "fronts", "membership", "net", "protocol"},
     "daemon": {"config", "desks", "fronts", "hook", "membership", "__version__"} | WIRES,
-    "cli": {"__version__", "config", "daemon", "hook", "log"},
+    "cli": {"__version__", "config", "daemon", "hook", "log", "planning"},
     "__main__": {"cli"}, "__init__": set(),
 }
 NETWORK = {"socket", "asyncio", "tornado", "selectors", "ssl"}
@@ -44,9 +47,21 @@
     assert own - {layer} <= ALLOWED[layer], f"{layer} may not import {own - {layer} - ALLOWED[layer]}"
 
 
-@pytest.mark.parametrize("name", ["api.py", "control.py", "drill.py", "protocol", "routing"])
+@pytest.mark.parametrize("name", ["api.py", "control.py", "drill.py", "planning", "protocol", "routing"])
 def test_no_network_code_where_none_belongs(name: str) -> None:
     paths = [ROOT / name] if name.endswith(".py") else sorted((ROOT / name).glob("*.py"))
     barred = NETWORK - ({"asyncio"} if name == "routing" else set())  # the core owns timers, not sockets
     for path in paths:
         assert not {one.split(".")[0] for one in imports(path)} & barred
+
+
+def test_the_platform_imports_nothing_heavy() -> None:
+    """What serving without plug-ins loads: the pinned three, and none of the extras."""
+    code = "import sys, seamlb.cli, seamlb.daemon, seamlb.drill; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    modules = done.stdout.split()
+    loaded = {name.partition(".")[0] for name in modules} - set(sys.stdlib_module_names)
+    pinned = {line.partition("==")[0] for line in (ROOT.parent / "requirements.txt").read_text().split()}
+    assert pinned == {"tornado", "orjson", "click"}
+    assert {name for name in loaded if not name.startswith("_")} <= pinned | {"seamlb", "site", "sitecustomize"}
+    assert not [name for name in ("planning", "emulator") if f"seamlb.{name}" in modules]
