Follow a plan in the daemon, and mend it online when desks are lost, cold or full

Need: a plan made ahead is worth little once a desk is lost; calls have to be steered without a solver at hand. The agent asks a guide for first choices and gives its settings to the module, which decides every send as before. [plan] is checked whole, swapped on SIGHUP, kept when the new one is bad; off on the platform.

--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, fields
+from datetime import datetime
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import orjson
 
@@ -16,6 +18,9 @@
 from seamlb.net.connection import split_address
 from seamlb.protocol.notices import parse_notices
 
+if TYPE_CHECKING:
+    from seamlb.planning.follow import Followed
+
 T = TypeVar("T")
 
 
@@ -103,6 +108,16 @@
     tcp: str = ""
 
 
+@dataclass(slots=True, frozen=True)
+class PlanConfig:
+    """A plan to follow and its problem, relative to the file that names them."""
+
+    file: str
+    problem: str
+    district: str = ""  # where this agent stands; without it the configuration's own
+    until: str = ""  # ISO 8601 with a time zone: from then on the plan steers nothing
+
+
 @dataclass(slots=True, frozen=True)
 class Plugins:
     """What is on beside the platform's front; each part is off unless its table is there."""
@@ -111,24 +126,62 @@
     desks: SipDesksConfig | None = None
     consul: ConsulConfig | None = None
     hook: str = ""
+    plan: Followed | None = None
 
 
 def load_plugins(path: str, config: Config) -> Plugins:
     """Read and check a TOML file of plug-ins against the classes and tenants of the configuration."""
     try:
         raw = tomllib.loads(Path(path).read_text())
-        unknown = raw.keys() - {"sip", "desks", "consul", "hook"}
+        unknown = raw.keys() - {"sip", "desks", "consul", "hook", "plan"}
         if unknown:
             raise ValueError(f"unknown table {min(unknown)}")
         sip, desks = _table(raw, "sip", SipFrontConfig), _table(raw, "desks", SipDesksConfig)
         consul = _table(raw, "consul", ConsulConfig)
         hook = str((raw.get("hook") or {}).get("file", ""))
         _check_plugins(config, sip, desks, consul)
+        plan = _table(raw, "plan", PlanConfig)
+        followed = _followed(plan, Path(path).parent, config) if plan else None
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except (ValueError, TypeError, AttributeError) as error:  # TOML errors are ValueErrors
         raise ConfigError(f"{path}: {error}".replace("\n", " ")) from None
-    return Plugins(sip, desks, consul, str(Path(path).parent / hook) if hook else "")
+    return Plugins(sip, desks, consul, str(Path(path).parent / hook) if hook else "", followed)
+
+
+def _followed(plan: PlanConfig, folder: Path, config: Config) -> Followed:
+    """The plan that a file names, checked whole against its problem and this configuration; else ValueError."""
+    # Imported where it is switched on: the platform's path has none of these libraries.
+    from seamlb.planning.check import check
+    from seamlb.planning.files import digest, load_problem, plan_of
+    from seamlb.planning.follow import Followed
+    from seamlb.planning.model import PlanningError
+
+    try:
+        problem = load_problem(folder / plan.problem)
+        found, table = plan_of(folder / plan.file)
+    except PlanningError as error:
+        raise ValueError(f"plan: {error}") from None
+    if table.problem != digest(problem):
+        raise ValueError(f"plan.file: {plan.file} was made for another problem than {plan.problem}")
+    # Moves were counted from a plan in force that is not known here; all else must hold.
+    if wrong := [line for line in check(problem, found) if not line.startswith("moves:")]:
+        raise ValueError(f"plan.file: {plan.file}: {wrong[0]}")
+    classes = {kind.name for kind in config.settings.classes}
+    if unknown := sorted(problem.kind.keys() - classes):
+        raise ValueError(f"plan.problem: {plan.problem}: unknown class {unknown[0]!r}")
+    if config.tenants and (strange := sorted({o.name for o in problem.offices} - set(config.tenants))):
+        raise ValueError(f"plan.problem: {plan.problem}: unknown office {strange[0]!r}")
+    if plan.district and plan.district not in problem.districts:
+        raise ValueError(f"plan.district: unknown district {plan.district!r}")
+    home = config.zones[config.settings.zone] if config.settings.zone < len(config.zones) else ""
+    until = math.inf
+    if plan.until:
+        told = datetime.fromisoformat(plan.until)
+        if told.tzinfo is None:
+            raise ValueError(f"plan.until: {plan.until!r} has no time zone")
+        until = told.timestamp() * 1000.0
+    return Followed(problem, found, plan.district or home, until)
 
 
 def _table(raw: Mapping[str, Any], name: str, form: type[T]) -> T | None:
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -5,7 +5,8 @@
 import asyncio
 import signal
 from collections.abc import Callable
-from dataclasses import fields
+from dataclasses import fields, replace
+from typing import TYPE_CHECKING
 
 from seamlb import __version__, log
 from seamlb.config import Config, ConfigError, Plugins
@@ -22,6 +23,10 @@
 from seamlb.routing.model import Membership, Request
 from seamlb.sip.endpoint import SipEndpoint
 
+if TYPE_CHECKING:
+    from seamlb.planning.follow import Followed, Guide
+
+STEER_EVERY = 0.25  # seconds between two looks at the plan's shares
 KEEP_TAKING = 0.7  # seconds after SIGTERM in which requests still come
 DRAIN_MOST = 3.0  # seconds: SIGKILL comes no sooner than the longest deadline, or this, and KEEP_TAKING after SIGTERM
 DRAIN_MARGIN = 0.3  # of that, kept for the last answers' way out
@@ -68,6 +73,7 @@
         settings = config.settings
         self.hook = Hook(plugins.hook) if plugins.hook else None
         self.agent = Agent(settings, config.seed, config.max_open, observe=self._observe if self.hook else None)
+        self.guide: Guide | None = None
         self.front = PlatformFront(
             self.agent, config.listen, int(config.sockets * CLIENT_SHARE), config.tenants
         )
@@ -88,9 +94,28 @@
         if plugins.consul:
             self.members.append(Consul(plugins.consul, config.zones, self.agent.list_changed, config.seed))
         self.peers: PeerLink | None = None
-        self.following: list[asyncio.Task[None]] = []
+        self.following: list[asyncio.Task[None]] = []  # tasks that end with the daemon
         self.term = asyncio.Event()
 
+    def _follow_plan(self, plan: Followed) -> None:
+        """Steer calls by a plan from now on."""
+        from seamlb.planning.follow import Guide
+
+        self.guide = self.agent.guide = Guide(self.config.settings, self.config.tenants)
+        self.guide.listed(self.agent.clock(), self.agent.listed.values())
+        self.guide.adopt(self.agent.clock(), plan)
+        self.agent.steer()
+        self.following.append(asyncio.get_running_loop().create_task(self._steer()))
+
+    async def _steer(self) -> None:
+        """Move the plan's shares while the daemon serves."""
+        while True:
+            await asyncio.sleep(STEER_EVERY)
+            try:
+                self.agent.steer()
+            except Exception as error:  # a fault in steering must not end the calls
+                log.event("fault", where="plan", error=repr(error), trace=log.trace(error))
+
     def _observe(self, request: Request, result: str, attempts: int) -> None:
         if self.hook:
             self.hook.observe({
@@ -115,6 +140,8 @@
             await self.sip.start()
         loop = asyncio.get_running_loop()
         self.following = [loop.create_task(self._follow(member)) for member in self.members]
+        if self.plugins.plan:
+            self._follow_plan(self.plugins.plan)
         self.front.ready = True
         log.event("serving", name=config.name, listen=config.listen, version=__version__)
 
@@ -130,7 +157,8 @@
     def reload(self) -> None:
         """SIGHUP: take the files as they are now; what can't be used changes nothing and leaves one line.
 
-        Only `board` is taken over while serving. Whatever else is new waits for a restart and is named.
+        Only `board` and a plan are taken over while serving, each at once and whole. Whatever else is new waits for a
+        restart and is named.
         """
         if self.reread is None:
             return
@@ -141,9 +169,15 @@
             return
         waits = [
             one.name for new, old in ((config, self.config), (plugins, self.plugins)) for one in fields(new)
-            if one.name not in ("board", "known") and getattr(new, one.name) != getattr(old, one.name)
+            if one.name not in ("board", "known", "plan") and getattr(new, one.name) != getattr(old, one.name)
         ]
         self.board.move(config.board)
+        if self.guide is None and plugins.plan:
+            self._follow_plan(plugins.plan)
+        elif self.guide:
+            self.guide.adopt(self.agent.clock(), plugins.plan)
+            self.agent.steer()
+        self.plugins = plugins if waits == [] else replace(self.plugins, plan=plugins.plan)
         log.event("reloaded", board=config.board, waits_for_restart=waits)
 
     async def run(self) -> None:
--- a/seamlb/planning/repair.py
+++ b/seamlb/planning/repair.py
@@ -1,19 +1,18 @@
 """Online repair: new flows for the placement in force when the world differs from the plan.
 
-No solver and no clock: given what each desk can take now, a cheapest flow (`carry`) over the fixed placement says
+No solver and no clock: given what each desk can take now, a cheapest flow over the fixed placement says
 where calls should go; a step from the flows in use towards it is bounded, so that no desk is swamped and nothing
 flaps.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from seamlb.planning.carry import Carried, carry
-from seamlb.planning.model import PERMILLE, Plan, Problem, objective
-
-Shares = dict[tuple[str, str], dict[str, int]]  # (class, district): permille by desk
+from seamlb.planning.flow import INFINITE, Network, cheapest
+from seamlb.planning.model import PERMILLE, Plan, Problem
 
 
 @dataclass(slots=True, frozen=True)
@@ -58,21 +57,92 @@
     return out
 
 
-def repair(problem: Problem, plan: Plan, capacity: Mapping[str, int]) -> Carried:
-    """The best flows of the plan's placement within these capacities: offices' floors, then worth, then distance.
-
-    The worth is the solver's for the same placement and capacities: both compute it with `carry`.
+@dataclass(slots=True, frozen=True)
+class Mended:
+    """What the repair carries: units by (class, desk), the worth, and whether every office's floor is held."""
+
+    routes: Mapping[tuple[str, str], int]
+    worth: int
+    floors_held: bool
+
+
+class Repair:
+    """Mends one plan, again and again: what does not change is computed once."""
+
+    def __init__(self, problem: Problem, plan: Plan) -> None:
+        self.problem = problem
+        self.given = problem.given(plan.placement)
+        self.planned: Counter[tuple[str, str]] = Counter()
+        for (kind, _, desk), units in plan.flows.routes.items():
+            self.planned[kind, desk] += units
+        self.demand: Counter[tuple[str, str]] = Counter()
+        for (kind, _, office), units in problem.demand.items():
+            self.demand[kind, office] += units
+
+    def mend(self, capacity: Mapping[str, int]) -> Mended:
+        """The best flows of the plan's placement within these capacities: offices' floors, then worth, then the
+        fewest units elsewhere than planned.
+
+        Districts have no part in it: any desk of a class takes calls from anywhere, so the worth is the solver's for
+        the same placement and capacities, and distance is left to the plan's own routes.
+        """
+        problem, net = self.problem, Network()
+        source, sink = net.node(), net.node()
+        big = problem.offered + 1  # a unit of worth outweighs all that could move
+        huge = big * (max((k.value for k in problem.kinds), default=0) + 1) * (problem.offered + 1)
+        floors, supply, wants = [], [], {}
+        for name in sorted(one.name for one in problem.offices):
+            office, within, beyond = net.node(), net.node(), net.node()
+            floors.append((net.arc(source, office, problem.floors[name], -huge), problem.floors[name]))
+            net.arc(source, office, INFINITE)
+            net.arc(office, within, problem.allowances[name])
+            net.arc(office, beyond, INFINITE)
+            for kind in sorted(problem.kind):
+                if not (units := self.demand[kind, name]):
+                    continue
+                if kind not in wants:
+                    wants[kind] = net.node()
+                here, value = net.node(), problem.kind[kind].value
+                less = value * problem.over_worth // PERMILLE
+                supply += [(net.arc(within, here, INFINITE, -big * value), value),
+                           (net.arc(beyond, here, INFINITE, -big * less), less)]
+                net.arc(here, wants[kind], units)
+        routes = []
+        for desk, kinds in self.given.items():
+            here = net.node()
+            net.arc(here, sink, capacity.get(desk, 0))
+            for kind in kinds:
+                if kind in wants:
+                    routes.append((kind, desk, net.arc(wants[kind], here, self.planned[kind, desk], 0),
+                                   net.arc(wants[kind], here, INFINITE, 1)))
+        cheapest(net, source, sink)
+        return Mended({(kind, desk): net.flow(a) + net.flow(b) for kind, desk, a, b in routes},
+                      sum(net.flow(arc) * value for arc, value in supply),
+                      all(net.flow(arc) == floor for arc, floor in floors))
+
+
+def shares(plan: Plan, mended: Mended, kind: str, district: str) -> dict[str, int]:
+    """Permille by desk for a class's calls from a district; without planned calls there, for those from anywhere.
+
+    What the repair takes off a desk is taken off every district in proportion, and what it adds to others goes to all
+    who lost some: each agent does so by itself, and together they do what the repair says.
     """
-    return carry(problem, plan.placement, capacity, exact=False)
-
-
-def shares(problem: Problem, routes: Mapping[tuple[str, str, str], int]) -> Shares:
-    """Permille by desk for each (class, district) that is carried at all; largest remainders, ties by name."""
-    out: Shares = {}
-    for (kind, district, desk), units in sorted(routes.items()):
-        if units:
-            out.setdefault((kind, district), {})[desk] = units
-    return {pair: permille(units) for pair, units in out.items()}
+    own: Counter[str] = Counter()
+    whole: Counter[str] = Counter()
+    for (one, where, desk), units in sorted(plan.flows.routes.items()):
+        if one == kind and units:
+            whole[desk] += units
+            if where == district:
+                own[desk] += units
+    after = {desk: units for (one, desk), units in mended.routes.items() if one == kind and units}
+    if not own:
+        return permille(after) if after else {}
+    out = {desk: units * min(whole[desk], after.get(desk, 0)) // whole[desk] for desk, units in own.items()}
+    extra = {desk: units - whole[desk] for desk, units in sorted(after.items()) if units > whole[desk]}
+    for desk, units in _parts(extra, sum(own.values()) - sum(out.values())).items():
+        out[desk] = out.get(desk, 0) + units
+    out = {desk: units for desk, units in out.items() if units}
+    return permille(out) if out else permille(after) if after else {}
 
 
 def permille(units: Mapping[str, int]) -> dict[str, int]:
@@ -120,11 +190,12 @@
     """The worth that repair keeps when any one open desk, or any one district, is lost; the worst first."""
     given = problem.given(plan.placement)
     whole = {desk: problem.capacity(desk, kinds) for desk, kinds in given.items()}
+    mender = Repair(problem, plan)
     cases = {f"desk {desk}": {desk} for desk in given}
     for district in {problem.desk[desk].district for desk in given}:
         cases[f"district {district}"] = {desk for desk in given if problem.desk[desk].district == district}
     out = []
     for name, away in cases.items():
-        flows = repair(problem, plan, {desk: 0 if desk in away else units for desk, units in whole.items()}).flows
-        out.append((name, objective(problem, plan.placement, flows).worth))
+        left = {desk: 0 if desk in away else units for desk, units in whole.items()}
+        out.append((name, mender.mend(left).worth))
     return sorted(out, key=lambda one: (one[1], one[0]))
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -11,7 +11,7 @@
 
 from seamlb import api, log
 from seamlb.control import Controller
-from seamlb.routing.model import Answer, Attempt, Caller, Desk, DeskClient, Outcome, Peers, Request
+from seamlb.routing.model import Answer, Attempt, Caller, Desk, DeskClient, Guide, Outcome, Peers, Request
 
 FULL_MS = 1000.0  # when to come back to an agent that holds all the calls it may
 
@@ -79,13 +79,14 @@
 
     def __init__(
         self, settings: api.Settings, seed: int, max_open: int = 20000, clock: Callable[[], float] | None = None,
-        observe: Callable[[Request, str, int], None] | None = None,
+        observe: Callable[[Request, str, int], None] | None = None, guide: Guide | None = None,
     ) -> None:
         self.settings = settings
         self.module = Controller(settings, seed)
         self.clock = clock or Clock().now
         self.max_open = max_open
         self.observe = observe
+        self.guide = guide
         self.desks: DeskClient | None = None
         self.peers: Peers | None = None
         self.lives: dict[int, Life] = {}
@@ -146,6 +147,31 @@
             self._listed(Desk(name, old.address, old.zone, old.cell, api.Availability.GONE, old.since_ms))
         for desk in desks:
             self._listed(desk)
+        if self.guide:
+            self.guide.listed(self.clock(), self.listed.values())
+            self.steer()
+
+    def steer(self) -> None:
+        """Give the module the guide's inputs as they are now; called on news and every now and then."""
+        if self.guide:
+            now = self.clock()
+            self.guide.step(now)
+            self.module.set = self.guide.inputs(now)
+            news, self.guide.news = self.guide.news, []
+            for name, facts in news:
+                log.event(name, **facts)
+
+    def _choice(self, request: Request) -> int:
+        """The pool of first choice: the guide's, if there is one."""
+        if self.guide is None:
+            return request.destination
+        number = request.number.encode("utf-8", "surrogateescape")
+        return self.guide.first_choice(self.clock(), request.class_name, number, request.destination)
+
+    def _reported(self, desk: str, report: Sequence[float]) -> None:
+        """Bring a desk's report to the guide."""
+        if self.guide and "idle" in self.settings.fields[:len(report)]:
+            self.guide.reported(self.clock(), desk, report[self.settings.fields.index("idle")])
 
     def _listed(self, desk: Desk) -> None:
         if desk.availability == api.Availability.GONE:
@@ -180,6 +206,7 @@
     def sampled(self, desk: str, report: tuple[float, ...]) -> None:
         """Unasked news of a desk's free agents."""
         if desk in self.numbers:
+            self._reported(desk, report)
             self.tell(api.Sampled(self.numbers[desk], api.Status.OK, 0.0, report))
 
     def peer_said(self, sender: int, payload: bytes) -> None:
@@ -221,7 +248,7 @@
             grace = request.patience_ms - request.sent_ms_ago
             self.feed(api.Demand(
                 call=life.number, call_class=request.call_class, tenant=request.tenant, grace=grace,
-                destination=request.destination, slots=request.slots, cut_before=request.cut_before,
+                destination=self._choice(request), slots=request.slots, cut_before=request.cut_before,
                 via=request.via, key=key_of(request.number),
             ))
             decision = await self._decision(life)
@@ -339,6 +366,7 @@
         attempt = self._vacate(life)
         if attempt is None:
             return
+        self._reported(attempt.desk, outcome.report)
         self.feed(api.Ended(
             life.number, attempt.leg, life.server, outcome.status, final, self._delay(life),
             outcome.note, outcome.report,
--- a/seamlb/routing/model.py
+++ b/seamlb/routing/model.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
-from seamlb.api import Availability, Scope, Status
+from seamlb.api import Availability, Scope, Settings, Status
 
 __all__ = [
-    "Answer", "Attempt", "Availability", "Caller", "Desk", "DeskClient", "Heard", "Membership", "Outcome", "Peers",
-    "Request", "Scope", "Status",
+    "Answer", "Attempt", "Availability", "Caller", "Desk", "DeskClient", "Guide", "Heard", "Membership", "Outcome",
+    "Peers", "Request", "Scope", "Status",
 ]
 
 
@@ -118,6 +118,27 @@
         """Follow the list."""
 
 
+class Guide(Protocol):
+    """Steers calls before the module decides: it chooses inputs, never a send. Times are clock milliseconds."""
+
+    news: list[tuple[str, dict[str, object]]]  # log lines that are due: event and facts
+
+    def first_choice(self, now: float, kind: str, number: bytes, usual: int) -> int:
+        """The pool of first choice of a call; `usual` is what its front says."""
+
+    def listed(self, now: float, desks: Iterable[Desk]) -> None:
+        """The whole list as it is now."""
+
+    def reported(self, now: float, desk: str, idle: float) -> None:
+        """A desk told how many agents are free."""
+
+    def step(self, now: float) -> None:
+        """Time has passed."""
+
+    def inputs(self, now: float) -> Settings:
+        """The settings that the module is to decide by."""
+
+
 class Peers(Protocol):
     """Carries messages between call agents."""
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,8 +17,8 @@
     "fronts": WIRES | {"api"}, "desks": WIRES, "membership": WIRES,
     "planning": {"api", "log"},
     "hook": {"log"},
-    "config": {"api", "fronts", "membership", "net", "protocol"},
-    "daemon": {"config", "desks", "fronts", "hook", "membership", "__version__"} | WIRES,
+    "config": {"api", "fronts", "membership", "net", "planning", "protocol"},
+    "daemon": {"config", "desks", "fronts", "hook", "membership", "planning", "__version__"} | WIRES,
     "cli": {"__version__", "config", "daemon", "hook", "log", "planning"},
     "__main__": {"cli"}, "__init__": set(),
 }
--- /dev/null
+++ b/tests/test_plan_daemon.py
@@ -0,0 +1,174 @@
+"""A daemon that follows a plan: first choices, SIGHUP with good and bad plans, desks that are lost."""
+
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from seamlb import api
+from seamlb.config import Config, ConfigError, Plugins, load_plugins
+from seamlb.daemon import Daemon
+from seamlb.planning.files import load_problem, save_plan
+from seamlb.planning.solve import solve
+from tests.loopback import ScriptedDesk, Story, config, invite
+from tests.support import RAW
+
+PROBLEM = """
+[[district]]
+name = "here"
+[[office]]
+name = "o"
+share = 1.0
+[[class]]
+name = "a"
+worth = 1
+holding_s = 10
+[[desk]]
+name = "d0"
+district = "here"
+agents = 9
+setups_per_s = 9
+skills = ["a"]
+fixed_cost = {first}
+[[desk]]
+name = "d1"
+district = "here"
+agents = 9
+setups_per_s = 9
+skills = ["a"]
+fixed_cost = 5
+[[demand]]
+class = "a"
+district = "here"
+erlangs = 2
+"""
+TABLE = '[plan]\nfile = "plan.toml"\nproblem = "problem.toml"\n'
+
+
+class PlanStory(Story):
+    """Files in a folder of their own, and an agent between two desks."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.config: Config = config(settings=RAW | {"Tenants": [{"Name": "o", "AllowancePerS": 9}]})
+
+    def write(self, first: int, table: str = TABLE) -> None:
+        """A plan that gives the class to the cheaper desk."""
+        (self.folder / "problem.toml").write_text(PROBLEM.format(first=first))
+        problem = load_problem(self.folder / "problem.toml")
+        save_plan(self.folder / "plan.toml", problem, solve(problem))
+        (self.folder / "plugins.toml").write_text(table)
+
+    def read(self) -> Plugins:
+        return load_plugins(str(self.folder / "plugins.toml"), self.config)
+
+    async def follow(self, *desks: ScriptedDesk, **change: Any) -> Daemon:
+        daemon = Daemon(self.config, self.read(), lambda: (self.config, self.read()))
+        self.addAsyncCleanup(self._stop, daemon, desks)
+        await daemon.start()
+        self.address = f"127.0.0.1:{daemon.front.listener.port}"
+        self.listed = [self.desk(k, await d.start()) for k, d in enumerate(desks)]
+        daemon.agent.list_changed(api.Scope.CACHED, self.listed)
+        for place in range(len(desks)):
+            await self.eventually(lambda place=place: daemon.agent.module.cores[place].told > 0)
+            self.warm(daemon, place)
+        return daemon
+
+    async def call(self, ident: str) -> None:
+        """A call that names desk 0 as its first choice."""
+        caller = await self.caller()
+        caller.send(invite(ident))
+        self.assertEqual((await caller.until(200)).get("call-id"), ident)
+
+
+class Followed(PlanStory):
+    async def test_first_choices_are_the_plans_and_change_with_it_on_sighup(self) -> None:
+        self.write(first=9)  # desk 1 is cheaper
+        first, second = ScriptedDesk(), ScriptedDesk()
+        daemon = await self.follow(first, second)
+        await self.call("00000000000000a1")
+        await second.until("INVITE")
+        self.write(first=1)
+        daemon.reload()
+        self.assertEqual(self.events("reloaded")[-1]["waits_for_restart"], [])
+        await self.call("00000000000000a2")
+        await first.until("INVITE")
+        # Without a plan the caller's own first choice counts again, and a new plan is followed again.
+        (self.folder / "plugins.toml").write_text("")
+        daemon.reload()
+        self.write(first=9)
+        assert daemon.guide is not None
+        self.assertIsNone(daemon.guide.followed)
+        self.assertIs(daemon.agent.module.set, daemon.config.settings)
+        daemon.reload()
+        await self.call("00000000000000a3")
+        await second.until("INVITE")
+
+    async def test_a_bad_plan_keeps_the_old_one(self) -> None:
+        self.write(first=9)
+        first, second = ScriptedDesk(), ScriptedDesk()
+        daemon = await self.follow(first, second)
+        good = (self.folder / "plan.toml").read_text()
+        other = PROBLEM.format(first=9).replace("agents = 9", "agents = 8")
+        for text, problem, reason in (
+            (good[:len(good) // 2], None, "plan.toml"),  # truncated
+            ("", None, "plan.toml"),
+            (good.replace("units = 20", "units = 21"), None, "arrive at desks"),  # edited by hand
+            (good, other, "another problem"),
+            (good, PROBLEM.format(first=9).replace('"a"', '"zz"'), "another problem"),
+        ):
+            (self.folder / "plan.toml").write_text(text)
+            (self.folder / "problem.toml").write_text(problem or PROBLEM.format(first=9))
+            before = daemon.guide.followed if daemon.guide else None
+            daemon.reload()
+            self.assertIn(reason, self.events("reload_failed")[-1]["error"])
+            assert daemon.guide is not None and before is not None
+            self.assertIs(daemon.guide.followed, before)
+        self.assertEqual(len(self.events("reload_failed")), 5)
+        await self.call("00000000000000a1")
+        await second.until("INVITE")
+
+    async def test_a_lost_desk_leaves_no_class_without_a_first_choice(self) -> None:
+        self.write(first=9)
+        first, second = ScriptedDesk(), ScriptedDesk()
+        daemon = await self.follow(first, second)
+        daemon.agent.list_changed(api.Scope.CACHED, self.listed[:1])
+        await self.call("00000000000000a1")
+        await first.until("INVITE")
+        self.assertEqual(len(self.events("plan_class_unplaced")), 0)  # told with the next step
+        daemon.agent.steer()
+        self.assertEqual(len(self.events("plan_class_unplaced")), 1)
+        self.assertEqual(self.events("plan_desks_missing")[-1]["desks"], ["d1"])
+
+    async def test_a_plan_is_taken_up_on_sighup(self) -> None:
+        self.write(first=9, table="")
+        first, second = ScriptedDesk(), ScriptedDesk()
+        daemon = await self.follow(first, second)
+        await self.call("00000000000000a1")
+        await first.until("INVITE")
+        (self.folder / "plugins.toml").write_text(TABLE)
+        daemon.reload()
+        await self.call("00000000000000a2")
+        await second.until("INVITE")
+
+    def test_what_a_plan_table_may_not_say(self) -> None:
+        for table, reason in (
+            (TABLE + 'district = "nowhere"\n', "unknown district"),
+            (TABLE + 'until = "2026-12-02T00:00:00"\n', "time zone"),
+            (TABLE + 'until = "soon"\n', "soon"),
+            (TABLE + "colour = 1\n", "plan.colour: unknown key"),
+            (TABLE.replace("plan.toml", "none.toml"), "No such file"),
+            ('[plan]\nfile = "plan.toml"\n', "problem"),
+        ):
+            self.write(first=9, table=table)
+            with self.assertRaisesRegex(ConfigError, reason):
+                self.read()
+        self.write(first=9, table=TABLE + 'until = "2026-12-02T00:00:00+01:00"\n')
+        followed = self.read().plan
+        assert followed is not None
+        self.assertEqual(followed.until_ms, 1796166000000.0)
+        self.config = config(settings=RAW | {"Tenants": [{"Name": "x", "AllowancePerS": 9}]})
+        with self.assertRaisesRegex(ConfigError, "unknown office 'o'"):
+            self.read()
