--- a/seamlb/cli.py
+++ b/seamlb/cli.py
@@ -22,6 +22,8 @@
 
 LAZY = {  # module, name, extra
     "lab": ("seamlb.emulator.command", "lab", "lab"),
+    "plugin": ("seamlb.plugins.command", "plugin", "plugins"),
+    "status": ("seamlb.plugins.command", "status", "plugins"),
     "plan": ("seamlb.planning.command", "plan", "plan"),
 }
 PLUGINS = click.option(
--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from seamlb.planning.follow import Followed
+    from seamlb.plugins.loading import PluginsTable
 
 T = TypeVar("T")
 
@@ -127,13 +128,14 @@
     consul: ConsulConfig | None = None
     hook: str = ""
     plan: Followed | None = None
+    plugins: PluginsTable | None = None
 
 
 def load_plugins(path: str, config: Config) -> Plugins:
     """Read and check a TOML file of plug-ins against the classes and tenants of the configuration."""
     try:
         raw = tomllib.loads(Path(path).read_text())
-        unknown = raw.keys() - {"sip", "desks", "consul", "hook", "plan"}
+        unknown = raw.keys() - {"sip", "desks", "consul", "hook", "plan", "plugins"}
         if unknown:
             raise ValueError(f"unknown table {min(unknown)}")
         sip, desks = _table(raw, "sip", SipFrontConfig), _table(raw, "desks", SipDesksConfig)
@@ -142,11 +144,24 @@
         _check_plugins(config, sip, desks, consul)
         plan = _table(raw, "plan", PlanConfig)
         followed = _followed(plan, Path(path).parent, config) if plan else None
+        local = _local(raw["plugins"], Path(path).parent) if "plugins" in raw else None
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except (ValueError, TypeError, AttributeError) as error:  # TOML errors are ValueErrors
         raise ConfigError(f"{path}: {error}".replace("\n", " ")) from None
-    return Plugins(sip, desks, consul, str(Path(path).parent / hook) if hook else "", followed)
+    return Plugins(sip, desks, consul, str(Path(path).parent / hook) if hook else "", followed, local)
+
+
+def _local(raw: Any, folder: Path) -> PluginsTable:
+    """The plug-ins' table, its plug-ins loaded once to see that they can be used; else ValueError."""
+    from seamlb.plugins.loading import LoadError, load_all, settings_of
+
+    table = settings_of(raw, folder)
+    try:
+        load_all(table)
+    except LoadError as error:
+        raise ValueError(f"plugins: {error}") from None
+    return table
 
 
 def _followed(plan: PlanConfig, folder: Path, config: Config) -> Followed:
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -19,13 +19,18 @@
 from seamlb.membership.consul import Consul
 from seamlb.net.connection import split_address
 from seamlb.net.datagram import Endpoint
-from seamlb.routing.agent import Agent
+from seamlb.routing.agent import Agent, Clock
 from seamlb.routing.model import Membership, Request
 from seamlb.sip.endpoint import SipEndpoint
 
 if TYPE_CHECKING:
     from seamlb.planning.follow import Followed, Guide
+    from seamlb.plugins.control import ControlSocket
+    from seamlb.plugins.loading import PluginsTable
+    from seamlb.plugins.service import PluginService
 
+TAKEN_OVER = ("board", "known", "plan", "plugins")  # by SIGHUP
+BEAT_EVERY = 0.1  # seconds between two portions of what plug-ins learn beside the calls
 STEER_EVERY = 0.25  # seconds between two looks at the plan's shares
 KEEP_TAKING = 0.7  # seconds after SIGTERM in which requests still come
 DRAIN_MOST = 3.0  # seconds: SIGKILL comes no sooner than the longest deadline, or this, and KEEP_TAKING after SIGTERM
@@ -72,7 +77,12 @@
         self.plugins = plugins = plugins or Plugins()
         settings = config.settings
         self.hook = Hook(plugins.hook) if plugins.hook else None
-        self.agent = Agent(settings, config.seed, config.max_open, observe=self._observe if self.hook else None)
+        clock = Clock().now
+        self.local = self._local(plugins.plugins, clock)
+        self.agent = Agent(
+            settings, config.seed, config.max_open, clock, observe=self._observe if self.hook else None,
+            advisor=self.local.advisor if self.local else None)
+        self.control: ControlSocket | None = None
         self.guide: Guide | None = None
         self.front = PlatformFront(
             self.agent, config.listen, int(config.sockets * CLIENT_SHARE), config.tenants
@@ -97,6 +107,40 @@
         self.following: list[asyncio.Task[None]] = []  # tasks that end with the daemon
         self.term = asyncio.Event()
 
+    def _local(self, table: PluginsTable | None, clock: Callable[[], float]) -> PluginService | None:
+        """The plug-ins of the start; without their table there are none, also after a SIGHUP."""
+        if table is None:
+            return None
+        from seamlb.plugins.loading import load_all
+        from seamlb.plugins.service import PluginService
+
+        return PluginService(table, load_all(table), self.config.settings, self.config.tenants, clock)
+
+    async def _beat(self, local: PluginService) -> None:
+        """What plug-ins learn beside the calls."""
+        while True:
+            await asyncio.sleep(BEAT_EVERY)
+            try:
+                local.advisor.beat(len(self.agent.listed))
+            except Exception as error:  # a fault in their host must not end the calls
+                log.event("fault", where="plugins", error=repr(error), trace=log.trace(error))
+
+    def _reload_local(self, table: PluginsTable | None, waits: list[str]) -> None:
+        """Plug-ins as they are in the files now; ConfigError, and nothing changed, if these have changed again."""
+        if self.local is None or table is None:
+            if (self.local is None) != (table is None):
+                waits.append("plugins")
+            return
+        from seamlb.plugins.loading import LoadError, load_all
+
+        try:
+            loaded = load_all(table)
+        except LoadError as error:
+            raise ConfigError(str(error)) from None
+        if table.control != self.local.table.control:
+            waits.append("plugins.control")
+        self.local.reload(table, loaded)
+
     def _follow_plan(self, plan: Followed) -> None:
         """Steer calls by a plan from now on."""
         from seamlb.planning.follow import Guide
@@ -142,6 +186,13 @@
         self.following = [loop.create_task(self._follow(member)) for member in self.members]
         if self.plugins.plan:
             self._follow_plan(self.plugins.plan)
+        if self.local:
+            self.following.append(loop.create_task(self._beat(self.local)))
+            if self.local.table.control:
+                from seamlb.plugins.control import ControlSocket
+
+                self.control = ControlSocket(self.local.table.control, self.local.handle)
+                await self.control.start()
         self.front.ready = True
         log.event("serving", name=config.name, listen=config.listen, version=__version__)
 
@@ -157,19 +208,21 @@
     def reload(self) -> None:
         """SIGHUP: take the files as they are now; what can't be used changes nothing and leaves one line.
 
-        Only `board` and a plan are taken over while serving, each at once and whole. Whatever else is new waits for a
-        restart and is named.
+        Only `board`, a plan and plug-ins are taken over while serving, each at once and whole. Whatever else is new
+        waits for a restart and is named.
         """
         if self.reread is None:
             return
         try:
             config, plugins = self.reread()
+            waits: list[str] = []
+            self._reload_local(plugins.plugins, waits)
         except ConfigError as error:
             log.event("reload_failed", error=str(error))
             return
-        waits = [
+        waits += [
             one.name for new, old in ((config, self.config), (plugins, self.plugins)) for one in fields(new)
-            if one.name not in ("board", "known", "plan") and getattr(new, one.name) != getattr(old, one.name)
+            if one.name not in TAKEN_OVER and getattr(new, one.name) != getattr(old, one.name)
         ]
         self.board.move(config.board)
         if self.guide is None and plugins.plan:
@@ -214,6 +267,8 @@
         for task in self.following:
             task.cancel()
         await asyncio.gather(*self.following, return_exceptions=True)
+        if self.control:
+            await self.control.close()
         self.front.stop_listening()
         self.front.close()
         if self.sip:
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -11,7 +11,7 @@
 
 from seamlb import api, log
 from seamlb.control import Controller
-from seamlb.routing.model import Answer, Attempt, Caller, Desk, DeskClient, Guide, Outcome, Peers, Request
+from seamlb.routing.model import Advisor, Answer, Attempt, Caller, Desk, DeskClient, Guide, Outcome, Peers, Request
 
 FULL_MS = 1000.0  # when to come back to an agent that holds all the calls it may
 
@@ -80,9 +80,11 @@
     def __init__(
         self, settings: api.Settings, seed: int, max_open: int = 20000, clock: Callable[[], float] | None = None,
         observe: Callable[[Request, str, int], None] | None = None, guide: Guide | None = None,
+        advisor: Advisor | None = None,
     ) -> None:
         self.settings = settings
-        self.module = Controller(settings, seed)
+        self.advisor = advisor
+        self.module = Controller(advisor.extend(settings) if advisor else settings, seed)
         self.clock = clock or Clock().now
         self.max_open = max_open
         self.observe = observe
@@ -156,7 +158,8 @@
         if self.guide:
             now = self.clock()
             self.guide.step(now)
-            self.module.set = self.guide.inputs(now)
+            inputs = self.guide.inputs(now)
+            self.module.set = self.advisor.extend(inputs) if self.advisor else inputs
             news, self.guide.news = self.guide.news, []
             for name, facts in news:
                 log.event(name, **facts)
@@ -244,12 +247,15 @@
         """The life of one request, from top to bottom."""
         result = "fault"
         try:
-            request = life.request
+            request = asked = life.request
+            if self.advisor:
+                request = life.request = self.advisor.advise(self.clock(), asked, self.listed)
+            preferred = request.destination != asked.destination  # a local rule comes before a plan
             grace = request.patience_ms - request.sent_ms_ago
             self.feed(api.Demand(
                 call=life.number, call_class=request.call_class, tenant=request.tenant, grace=grace,
-                destination=self._choice(request), slots=request.slots, cut_before=request.cut_before,
-                via=request.via, key=key_of(request.number),
+                destination=request.destination if preferred else self._choice(request), slots=request.slots,
+                cut_before=request.cut_before, via=request.via, key=key_of(request.number),
             ))
             decision = await self._decision(life)
             while isinstance(decision, api.CallOut):
@@ -391,5 +397,7 @@
             "call_end", call=life.request.ident, kind=life.request.class_name,
             result=result, attempts=life.attempts,
         )
+        if self.advisor:
+            self.advisor.observe(life.request, result, life.attempts)
         if self.observe:
             self.observe(life.request, result, life.attempts)
--- a/seamlb/routing/model.py
+++ b/seamlb/routing/model.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
 from seamlb.api import Availability, Scope, Settings, Status
 
 __all__ = [
-    "Answer", "Attempt", "Availability", "Caller", "Desk", "DeskClient", "Guide", "Heard", "Membership", "Outcome",
-    "Peers", "Request", "Scope", "Status",
+    "Advisor", "Answer", "Attempt", "Availability", "Caller", "Desk", "DeskClient", "Guide", "Heard", "Membership",
+    "Outcome", "Peers", "Request", "Scope", "Status",
 ]
 
 
@@ -139,6 +139,19 @@
         """The settings that the module is to decide by."""
 
 
+class Advisor(Protocol):
+    """Local rules: they may change what is known of a call before the module decides, and nothing after."""
+
+    def extend(self, settings: Settings) -> Settings:
+        """The settings for the module: classes may be added behind those that are there."""
+
+    def advise(self, now: float, request: Request, listed: Mapping[str, Desk]) -> Request:
+        """The request as the module is to see it."""
+
+    def observe(self, request: Request, result: str, attempts: int) -> None:
+        """A call is over."""
+
+
 class Peers(Protocol):
     """Carries messages between call agents."""
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,10 +17,11 @@
     "fronts": WIRES | {"api"}, "desks": WIRES, "membership": WIRES,
     "planning": {"api", "log"},
     "emulator": {"__version__", "api", "log", "planning", "routing"},
+    "plugins": {"api", "log", "routing"},
     "hook": {"log"},
-    "config": {"api", "fronts", "membership", "net", "planning", "protocol"},
-    "daemon": {"config", "desks", "fronts", "hook", "membership", "planning", "__version__"} | WIRES,
-    "cli": {"__version__", "config", "daemon", "emulator", "hook", "log", "planning"},
+    "config": {"api", "fronts", "membership", "net", "planning", "plugins", "protocol"},
+    "daemon": {"config", "desks", "fronts", "hook", "membership", "planning", "plugins", "__version__"} | WIRES,
+    "cli": {"__version__", "config", "daemon", "emulator", "hook", "log", "planning", "plugins"},
     "__main__": {"cli"}, "__init__": set(),
 }
 NETWORK = {"socket", "asyncio", "tornado", "selectors", "ssl"}
@@ -65,4 +66,4 @@
     pinned = {line.partition("==")[0] for line in (ROOT.parent / "requirements.txt").read_text().split()}
     assert pinned == {"tornado", "orjson", "click"}
     assert {name for name in loaded if not name.startswith("_")} <= pinned | {"seamlb", "site", "sitecustomize"}
-    assert not [name for name in ("planning", "emulator") if f"seamlb.{name}" in modules]
+    assert not [name for name in ("planning", "plugins", "emulator") if f"seamlb.{name}" in modules]
--- /dev/null
+++ b/tests/test_plugin_daemon.py
@@ -0,0 +1,251 @@
+"""Plug-ins in a daemon: what they change, what they can't, SIGHUP, and the control socket under abuse."""
+
+import asyncio
+import os
+import stat
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from seamlb import api
+from seamlb.config import ConfigError, Plugins, load_plugins
+from seamlb.daemon import Daemon
+from seamlb.plugins.chain import SHADOW_CALLS
+from seamlb.plugins.control import MOST_CLIENTS, ControlSocket
+from tests.loopback import Peer, ScriptedDesk, Story, config, invite, refuse
+from tests.support import RAW
+from tests.test_plugins import FAULTY
+
+TABLE = '[plugins]\ncontrol = "c.sock"\n[[plugins.plugin]]\nfile = "p.rules"\nmost = 1.0\n'
+MOVES = 'plugin p version {}\nrule c on classify then class "b", office "y"\nrule d on prefer then prefer "d1"\n'
+
+
+class PluginStory(Story):
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        tenants = [{"Name": "x", "AllowancePerS": 9}, {"Name": "y", "AllowancePerS": 9}]
+        self.config = config(settings=RAW | {"Tenants": tenants})
+        self.write(MOVES.format(1))
+
+    def write(self, rules: str | bytes, table: str = TABLE, name: str = "p.rules") -> None:
+        (self.folder / name).write_bytes(rules if isinstance(rules, bytes) else rules.encode())
+        (self.folder / "plugins.toml").write_text(table)
+
+    def read(self) -> Plugins:
+        return load_plugins(str(self.folder / "plugins.toml"), self.config)
+
+    async def serve(self, *desks: ScriptedDesk) -> Daemon:
+        daemon = Daemon(self.config, self.read(), lambda: (self.config, self.read()))
+        self.addAsyncCleanup(self._stop, daemon, desks)
+        await daemon.start()
+        self.address = f"127.0.0.1:{daemon.front.listener.port}"
+        daemon.agent.list_changed(api.Scope.CACHED, [self.desk(k, await d.start()) for k, d in enumerate(desks)])
+        for place in range(len(desks)):
+            await self.eventually(lambda place=place: daemon.agent.module.cores[place].told > 0)
+            self.warm(daemon, place)
+        return daemon
+
+    async def call(self, number: int, status: int = 200) -> None:
+        caller = await self.caller()
+        ident = f"{number:016x}"
+        asked = invite(ident)
+        asked.uri = f"sip:{number}@net"  # callers of their own, no redials
+        caller.send(asked)
+        self.assertEqual((await caller.until(status)).get("call-id"), ident)
+
+    async def ask(self, **question: Any) -> Any:
+        reader, writer = await asyncio.open_unix_connection(str(self.folder / "c.sock"))
+        writer.write(orjson.dumps(question) + b"\n")
+        answer = orjson.loads(await reader.readline())
+        writer.close()
+        return answer
+
+
+class Advised(PluginStory):
+    async def test_class_and_first_choice_are_the_rules(self) -> None:
+        first, second = ScriptedDesk(), ScriptedDesk()
+        await self.serve(first, second)
+        await self.call(1)
+        sent = await second.until("INVITE")
+        self.assertEqual(sent.get("x-cos"), "b")
+        self.assertTrue(first.seen.empty())
+
+    async def test_a_draining_or_unknown_desk_is_never_preferred(self) -> None:
+        first, second = ScriptedDesk(), ScriptedDesk()
+        daemon = await self.serve(first, second)
+        daemon.agent.list_changed(api.Scope.DELTA, [self.desk(1, second.address, phase=2)])
+        await self.call(1)
+        await first.until("INVITE")
+        self.assertTrue(second.seen.empty())
+
+    async def test_precedence_is_a_class_of_more_worth_and_the_callers_can_not_name_it(self) -> None:
+        self.write("plugin p version 1\nrule c on classify then precedence")
+        first = ScriptedDesk()
+        daemon = await self.serve(first)
+        demands: list[api.Demand] = []
+        feed = daemon.agent.feed
+        daemon.agent.feed = lambda event: (  # type: ignore[method-assign]
+            demands.append(event) if isinstance(event, api.Demand) else None, feed(event))[1]
+        await self.call(1)
+        (demand,) = demands
+        inside, plain = daemon.agent.module.set.classes, daemon.config.settings.classes
+        self.assertEqual(inside[demand.call_class].name, "a")
+        self.assertEqual(inside[demand.call_class].worth, 2 * plain[0].worth)
+        self.assertEqual(inside[:len(plain)], plain)
+        self.assertEqual(set(daemon.front.classes), {"a", "b"})
+
+    async def test_one_final_answer_whatever_a_plugin_does(self) -> None:
+        for name in ("fuel", "trap", "nan"):
+            self.write(FAULTY[name], TABLE.replace("p.rules", "p.wasm"), "p.wasm")
+            daemon = await self.serve(ScriptedDesk())
+            for number in range(7):
+                await self.call(number)
+            self.assertEqual(self.events("plugin_health")[-1]["now"], "quarantine")
+            await daemon.close()
+        self.assertEqual([one["result"] for one in self.events("call_end") if one["result"] == "fault"], [])
+
+    async def test_refusals_and_attempts_are_the_modules_with_a_plugin_that_prefers(self) -> None:
+        """The preferred desk is full: the call is not sent there twice, and its one answer is the module's."""
+        first, second = ScriptedDesk(), ScriptedDesk(refuse(503, ("X-Diagnosis", "atb")))
+        await self.serve(first, second)
+        await self.call(1)
+        await first.until("INVITE")
+        await second.until("INVITE")
+        self.assertNotIn("INVITE", [second.seen.get_nowait().method for _ in range(second.seen.qsize())])
+
+
+class Reloaded(PluginStory):
+    async def test_a_new_version_is_shadowed_and_a_broken_file_changes_nothing(self) -> None:
+        daemon = await self.serve(ScriptedDesk(), ScriptedDesk())
+        assert daemon.local is not None
+        slot = daemon.local.chain.slots["p"]
+        for broken in ("plugin p", "plugin p version 2\nrule r on send then refuse", "\0"):
+            self.write(broken)
+            daemon.reload()
+        self.write(MOVES.format(2), TABLE + "colour = 1\n")
+        daemon.reload()
+        self.assertEqual(len(self.events("reload_failed")), 4)
+        self.assertIsNone(slot.shadow)
+        self.write(MOVES.format(2))
+        daemon.reload()
+        assert slot.shadow is not None
+        self.assertEqual((slot.shadow.program.version, slot.active.program.version), (2, 1))
+        slot.seen = SHADOW_CALLS - 1
+        await self.call(1)
+        self.assertEqual(slot.active.program.version, 2)
+        daemon.reload()  # the same file again is no new version
+        self.assertIsNone(slot.shadow)
+
+    async def test_roll_back_while_draining(self) -> None:
+        daemon = await self.serve(ScriptedDesk(), ScriptedDesk())
+        self.write(MOVES.format(2))
+        daemon.reload()
+        assert daemon.local is not None
+        daemon.local.chain.switch(daemon.agent.clock(), "p")
+        caller = await self.caller()
+        daemon.front.drain()
+        caller.send(invite("00000000000000a1"))
+        daemon.local.chain.roll_back(daemon.agent.clock(), "p")
+        self.assertEqual((await caller.until(200)).get("call-id"), "00000000000000a1")
+        self.assertEqual(daemon.local.chain.slots["p"].active.program.version, 1)
+
+    def test_what_the_table_may_not_say(self) -> None:
+        for table, reason in (
+            (TABLE + 'points = ["send"]\n', "unknown 'send'"),
+            (TABLE + 'facts = ["password"]\n', "unknown 'password'"),
+            (TABLE + 'facts = ["number"]\npoints = ["classify"]\n', "which is not granted"),
+            (TABLE.replace("1.0", "1.5"), "most"),
+            (TABLE.replace("most", "fuel"), "fuel"),
+            (TABLE.replace("p.rules", "none.rules"), "No such file"),
+            (TABLE + '[[plugins.plugin]]\nfile = "p.rules"\n', "there twice"),
+        ):
+            self.write(MOVES.format(1), table)
+            with self.assertRaisesRegex(ConfigError, reason):
+                self.read()
+
+
+class Control(PluginStory):
+    async def test_commands(self) -> None:
+        self.write("plugin p version 1\nstate evacuation of office\n"
+                   "rule c on classify when evacuation then precedence")
+        daemon = await self.serve(ScriptedDesk())
+        self.assertEqual(stat.S_IMODE(os.stat(self.folder / "c.sock").st_mode), 0o600)
+        await self.call(1)
+        (row,) = (await self.ask(do="list"))["answer"]
+        self.assertEqual((row["plugin"], row["version"], row["health"], row["calls"]), ("p", 1, "on", 1))
+        self.assertTrue((await self.ask(do="state", state="evacuation", of="x", on=True))["ok"])
+        self.assertEqual((await self.ask(do="status"))["answer"]["states"], [["evacuation", "x"]])
+        self.write("plugin p version 2\nrule c on classify then precedence")
+        self.assertEqual((await self.ask(do="upgrade", plugin="p"))["answer"], "shadow")
+        self.assertTrue((await self.ask(do="switch", plugin="p"))["ok"])
+        self.assertTrue((await self.ask(do="rollback", plugin="p"))["ok"])
+        self.assertTrue((await self.ask(do="disable", plugin="p"))["ok"])
+        self.assertEqual((await self.ask(do="list"))["answer"][0]["health"], "off")
+        self.assertTrue((await self.ask(do="unload", plugin="p"))["ok"])
+        for bad, says in (({"do": "unload", "plugin": "p"}, "no plug-in"), ({"do": "explode"}, "unknown command"),
+                          ({"do": "load"}, "a file"), ({"do": "load", "file": "/none"}, "No such file"),
+                          ({"do": "state", "state": "s"}, "no plug-in has"), ({}, "unknown command")):
+            told = await self.ask(**bad)
+            self.assertFalse(told["ok"])
+            self.assertIn(says, told["error"])
+        await daemon.close()
+        self.assertFalse((self.folder / "c.sock").exists())
+
+    async def test_garbage_half_lines_endless_lines_and_idle_clients(self) -> None:
+        await self.serve(ScriptedDesk(), ScriptedDesk())
+        path = str(self.folder / "c.sock")
+        for garbage in (b"\xff\xfe\n", b"[]\n", b"{\n", b"1\n"):
+            reader, writer = await asyncio.open_unix_connection(path)
+            writer.write(garbage)
+            self.assertFalse(orjson.loads(await reader.readline())["ok"])
+            writer.write(garbage[:-1])  # half a line, then gone
+            writer.close()
+        reader, writer = await asyncio.open_unix_connection(path)
+        endless = Peer(reader, writer)
+        with self.assertRaises((EOFError, OSError)):
+            for _ in range(160):
+                writer.write(b"x" * 65536)  # 10 MB without a newline
+                await writer.drain()
+            await endless.next()
+        # Clients before have ended; then 500 that say nothing: the first keep their places, the rest are closed.
+        idle = [await asyncio.open_unix_connection(path) for _ in range(500)]
+        closed = 0
+        for reader, _ in idle[MOST_CLIENTS:]:
+            closed += await reader.read(1) == b""
+        self.assertEqual(closed, 500 - MOST_CLIENTS)
+        await self.call(1)  # calls go on
+        for _, writer in idle:
+            writer.close()
+        await self.eventually(lambda: True)
+        async with asyncio.timeout(20):
+            while True:
+                try:
+                    if (await self.ask(do="list"))["ok"]:
+                        break
+                except (orjson.JSONDecodeError, OSError):
+                    await asyncio.sleep(0.01)  # the last idle ones are still being closed
+        self.assertEqual(self.events("fault"), [])
+
+    async def test_a_socket_in_use_is_refused_and_a_left_one_taken_over(self) -> None:
+        path = str(self.folder / "c.sock")
+        one, other = (ControlSocket(path, lambda asked: asked) for _ in range(2))
+        await one.start()
+        with self.assertRaisesRegex(OSError, "another process serves it"):
+            await other.start()
+        assert one.server is not None
+        one.server.close()  # as a crash leaves it: the file stays, nobody serves it
+        await asyncio.sleep(0)
+        if not Path(path).exists():
+            import socket
+            with socket.socket(socket.AF_UNIX) as left:
+                left.bind(path)
+        await other.start()
+        await other.close()
+        (self.folder / "c.sock").write_text("a file")
+        with self.assertRaisesRegex(OSError, "is no socket"):
+            await one.start()
