--- a/seamlb/emulator/command.py
+++ b/seamlb/emulator/command.py
@@ -26,11 +26,12 @@
     try:
         told, problem, plan = experiments.read(experiment)
         told.seeds = seeds or told.seeds
+        rules = experiments.read_rules(experiment, told)
 
         def progress(done: int, of: int) -> None:
             click.echo(f"\r  {done} of {of} runs", err=True, nl=done == of)
 
-        rows = experiments.play(told, problem, plan, progress, processes)
+        rows = experiments.play(told, problem, plan, progress, processes, rules)
         experiments.save(out, rows, f"seamlb lab run {experiment}", told)
     except (PlanningError, OSError) as error:
         click.echo(f"seamlb lab: {error}", err=True)
--- a/seamlb/emulator/lab.py
+++ b/seamlb/emulator/lab.py
@@ -15,11 +15,13 @@
 import msgspec
 
 from seamlb import __version__
-from seamlb.emulator.policies import NAMES, policy
+from seamlb.emulator.policies import NAMES, WITH, policy
 from seamlb.emulator.run import Policy, Result, Scenario, Trouble, emulate
 from seamlb.planning.files import load_problem, plan_of
 from seamlb.planning.model import Plan, PlanningError, Problem
 from seamlb.planning.words import table
+from seamlb.plugins.checking import compile_text
+from seamlb.plugins.language import RuleError
 
 FIGURES = ("worth", "worst_class", "worst_office", "cost", "attempts_per_call", "fallen", "late", "broken")
 Row = dict[str, str]
@@ -38,6 +40,7 @@
     offices: dict[str, float] = {}
     districts: dict[str, float] = {}
     list_lag_s: float = 2.0
+    states: dict[str, list[str]] = {}  # of the rules: by what each is declared
     trouble: list[TroubleTable] = []
 
 
@@ -49,6 +52,7 @@
     plan: str = ""  # without one the problem is solved
     policies: list[str] = msgspec.field(default_factory=lambda: list(NAMES))
     seeds: int = 20
+    rules: str = ""  # a rule file, for policies that end with +rules
     first_seed: int = 1
     seconds: float = 60.0
 
@@ -57,7 +61,7 @@
     """An experiment with its problem and plan; PlanningError names what is wrong."""
     try:
         told = msgspec.convert(tomllib.loads(path.read_text()), Experiment)
-        if unknown := sorted(set(told.policies) - set(NAMES)):
+        if unknown := sorted({one.removesuffix(WITH) for one in told.policies} - set(NAMES)):
             raise ValueError(f"policies: unknown policy {unknown[0]!r}; there are {', '.join(NAMES)}")
         if told.seeds < 1 or not 0 < told.seconds <= 3600 or not told.scenario or not told.policies:
             raise ValueError("seeds, seconds (3600 at most), policies and scenarios are needed")
@@ -84,9 +88,31 @@
     return told, problem, plan
 
 
+def read_rules(path: Path, told: Experiment) -> str:
+    """The rules of an experiment, checked; PlanningError if they can't be used."""
+    if not told.rules:
+        if any(one.endswith(WITH) for one in told.policies):
+            raise PlanningError(f"{path}: rules: missing, and a policy ends with {WITH}")
+        return ""
+    file = path.parent / told.rules
+    try:
+        text = file.read_text()
+        known = compile_text(text, str(file)).declared
+    except OSError as error:
+        raise PlanningError(f"{file}: {error.strerror}") from None
+    except RuleError as error:
+        raise PlanningError(str(error)) from None
+    strange = [name for day in told.scenario for name in day.states
+               if name not in known or known[name].kind != "state"]
+    if strange:
+        raise PlanningError(f"{path}: states: {file.name} has no state {strange[0]!r}")
+    return text
+
+
 def scenario(day: ScenarioTable) -> Scenario:
     troubles = tuple(Trouble(one.at_s, one.desk, one.what, one.factor) for one in day.trouble)
-    return Scenario(day.name, day.load, day.offices, day.districts, troubles, day.list_lag_s)
+    states = tuple((name, of) for name, all_of in day.states.items() for of in all_of)
+    return Scenario(day.name, day.load, day.offices, day.districts, troubles, day.list_lag_s, states)
 
 
 def row(day: str, name: str, seed: int, result: Result) -> Row:
@@ -94,17 +120,18 @@
         "worth": result.worth, "worst_class": result.worst_class, "worst_office": result.worst_office,
         "cost": result.cost, "attempts_per_call": result.attempts / max(1, result.calls), "fallen": result.fallen,
         "late": result.late, "broken": len(result.broken),
-    }
+    } | {f"worth {name}": value for name, value in sorted({**result.by_class, **result.by_office}.items())}
     return {"scenario": day, "policy": name, "seed": str(seed)} | {
         key: f"{value:.6f}" if isinstance(value, float) else str(value) for key, value in figures.items()}
 
 
 def play(
-    told: Experiment, problem: Problem, plan: Plan, progress: Callable[[int, int], None], processes: int | None = None
+    told: Experiment, problem: Problem, plan: Plan, progress: Callable[[int, int], None],
+    processes: int | None = None, rules: str = "",
 ) -> list[Row]:
     """All runs; the rows' order does not depend on which process was done first."""
     jobs: list[tuple[Scenario, Policy, int]] = [
-        (scenario(day), policy(name, problem, plan), seed) for day in told.scenario for name in told.policies
+        (scenario(day), policy(name, problem, plan, rules), seed) for day in told.scenario for name in told.policies
         for seed in range(told.first_seed, told.first_seed + told.seeds)]
     rows: dict[int, Row] = {}
     with ProcessPoolExecutor(processes) as pool:
@@ -219,7 +246,8 @@
         raise PlanningError("the two have no scenario and seed in common")
     rows = []
     for day, both in pairs.items():
-        for key in ("worth", "worst_class", "worst_office", "cost"):
+        more = [key for key in both[0][0] if key.startswith("worth ") and key in both[0][1]]
+        for key in ("worth", "worst_class", "worst_office", "cost", *more):
             apart = [float(b[key]) - float(a[key]) for a, b in both]
             mean, half = statistics.fmean(apart), half_width(apart)
             sure = "differs" if abs(mean) > half else ""
--- a/seamlb/emulator/policies.py
+++ b/seamlb/emulator/policies.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 
 from seamlb.emulator.run import Policy
 from seamlb.planning.carry import carry
 from seamlb.planning.files import split
 from seamlb.planning.model import Flows, Plan, Problem, objective
 
+WITH = "+rules"
 NAMES = ("plan", "plan-static", "uniform", "greedy")
 
 
-def policy(name: str, problem: Problem, solved: Plan) -> Policy:
-    """One of NAMES; ValueError for any other."""
+def policy(name: str, problem: Problem, solved: Plan, rules: str = "") -> Policy:
+    """One of NAMES, with "+rules" behind it to run the experiment's rules; ValueError for any other."""
+    if name.endswith(WITH):
+        return replace(policy(name.removesuffix(WITH), problem, solved), name=name, rules=rules)
     match name:
         case "plan":
             return Policy(name, solved, mended=True)
--- a/seamlb/emulator/run.py
+++ b/seamlb/emulator/run.py
@@ -14,6 +14,11 @@
 from seamlb.planning.draw import StickyDraw
 from seamlb.planning.follow import Followed, Guide
 from seamlb.planning.model import PERMILLE, Plan, Problem, weights
+from seamlb.plugins.advisor import PluginAdvisor
+from seamlb.plugins.chain import Chain
+from seamlb.plugins.checking import compile_text
+from seamlb.plugins.host import Grant, Plugin
+from seamlb.plugins.machine import Interpreter
 from seamlb.routing.agent import Agent
 from seamlb.routing.model import Desk, Request
 
@@ -47,6 +52,7 @@
     districts: Mapping[str, float] = field(default_factory=dict)
     troubles: tuple[Trouble, ...] = ()
     list_lag: float = 2.0  # seconds
+    states: tuple[tuple[str, str], ...] = ()  # of the rules, declared from the start
 
 
 @dataclass(slots=True, frozen=True)
@@ -56,6 +62,7 @@
     name: str
     plan: Plan
     mended: bool
+    rules: str = ""  # a plug-in's text that every agent runs, granted all it may move
 
 
 @dataclass(slots=True, frozen=True)
@@ -144,12 +151,24 @@
         if policy.mended:
             guide = Guide(told, tuple(o.name for o in offices(problem)))
             guide.adopt(0.0, Followed(problem, policy.plan, district))
-        agent = Agent(told, self.seed * 1000 + place, clock=self.now, guide=guide)
+        advisor = self._advisor(told) if policy.rules else None
+        agent = Agent(told, self.seed * 1000 + place, clock=self.now, guide=guide, advisor=advisor)
         client = EmulatedDesks(lambda desk: self.far(district, desk), self.holding)
         client.desks = self.desks
         agent.desks = client
         self.agents[district], self.clients[district] = agent, client
 
+    def _advisor(self, told: api.Settings) -> PluginAdvisor:
+        program = compile_text(self.policy.rules)
+        names = [one.name for one in offices(self.problem)]
+        top = max(told.classes, key=lambda kind: kind.worth).name
+        chain = Chain(20_000, 1.0, [kind.name for kind in told.classes], names, top,
+                      max(kind.deadline for kind in told.classes), lambda name, facts: None, lambda: 0.0)
+        chain.load(0.0, Plugin(program, Interpreter(program), Grant(most=1.0)))
+        for name, of in self.scenario.states:
+            chain.set_state(name, of, True)
+        return PluginAdvisor(chain, told, names, self.now)
+
     def far(self, district: str, desk: str) -> float:
         return self.problem.time(district, self.problem.desk[desk].district) / 1e6 + 0.0005
 
@@ -223,7 +242,7 @@
             desk = draw.pick(called.encode()) if draw else None
             deadline = self.agents[district].settings.classes[place].deadline
             request = Request(f"{number:03x}{count:013x}", place, kind, tenant, called, PATIENCE * deadline,
-                              self.cells[desk] if desk else 0)
+                              self.cells[desk] if desk else 0, tenant_name=office)
             own = stream(self.seed, "person", number, count)
             person = Person(self, self.agents[district], request, self.loop.time(), own)
             self.people.append(person)
@@ -245,7 +264,8 @@
         return self.result()
 
     def result(self) -> Result:
-        got: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        # Every class has its figure, also one without a call in a short run.
+        got = {name: [0.0, 0.0] for name in ("", *(k.name for k in kinds(self.problem)))}
         rooms = {name: [0.0, 0.0] for name in (o.name for o in self.problem.offices)}
         for person in self.people:
             kind = self.problem.kind[person.request.class_name]
--- a/seamlb/plugins/advisor.py
+++ b/seamlb/plugins/advisor.py
@@ -1,8 +1,11 @@
 """Brings plug-ins' advice to the agent as the decision module's usual inputs.
 
-A call's standing becomes a class of its own beside the plain one, with the same times and more or less worth: the
-module ranks and gaps it by its own rules. An advice holds no desk client, no attempt and no caller; what it names is
-looked up in the list and the settings, and does nothing where these don't have it.
+A call's standing becomes an office of its own: one whose allowance is never used up, or one that has none. So the
+module counts it within a share, or beyond one, and ranks it among the classes that it has. (Classes of more and less
+worth beside the plain ones were tried first: they moved the worth from which lines are kept, doubled the ranks that
+the gate lifts one by one, and cost alert-confirm 0.30 of its worth in `examples/lab/evacuation.toml`.) An advice
+holds no desk client, no attempt and no caller; what it names is looked up in the list and the settings, and does
+nothing where these don't have it.
 """
 
 from __future__ import annotations
@@ -15,7 +18,7 @@
 from seamlb.plugins.host import Facts
 from seamlb.routing.model import Availability, Desk, Request
 
-PRECEDENCE = 2.0  # times the worth of its class
+ENDLESS = 1e9  # calls a second
 
 
 class PluginAdvisor:
@@ -29,11 +32,10 @@
         self.desks = 0
 
     def extend(self, settings: api.Settings) -> api.Settings:
-        """Behind the plain classes: the same with precedence, then the same advised against."""
-        plain = settings.classes
-        more = tuple(replace(kind, worth=kind.worth * PRECEDENCE) for kind in plain)
-        less = tuple(replace(kind, worth=kind.worth * settings.over_share_worth) for kind in plain)
-        return replace(settings, classes=plain + more + less)
+        """Behind the offices: one that is always within its share, one that never is."""
+        if not settings.allowances:
+            return settings  # without shares a call has no standing that could differ
+        return replace(settings, allowances=(*settings.allowances, ENDLESS, 0.0))
 
     def advise(self, now: float, request: Request, listed: Mapping[str, Desk]) -> Request:
         facts = Facts(request.class_name, request.tenant_name, request.number, request.patience_ms,
@@ -48,10 +50,11 @@
             destination = desk.cell
         if told.kind != request.class_name and kind.pools is not None and destination not in kind.pools:
             return request  # a class that its first choice can't take
-        step = len(self.settings.classes) * {0: 0, 1: 1, -1: 2}[told.standing]
         name = kind.name if told.kind in self.classes else request.class_name
+        if told.standing and self.settings.allowances:
+            tenant = len(self.settings.allowances) + (told.standing < 0)
         return replace(
-            request, call_class=place + step, class_name=name, tenant=tenant,
+            request, call_class=place, class_name=name, tenant=tenant,
             tenant_name=told.office if told.office in self.offices else request.tenant_name,
             destination=destination, slots=kind.width if told.kind != request.class_name else request.slots)
 
