Load each front on real sockets with faults, and audit every rule on what passed

Need: that faulty plug-ins break no rule has to be seen on sockets, under load, and so has all that comes later. Change: `seamlb lab load` starts the agent as a process, calls by a Poisson process on the platform's front or SIP over UDP or TCP, plays faults, and checks final answers, attempts at once, the 300 ms bar, drains and cold budgets; HDR histograms of the answer's onset. The daemon logs the address that each front is bound to.

--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -184,6 +184,11 @@
             await self.sip.start()
         loop = asyncio.get_running_loop()
         self.following = [loop.create_task(self._follow(member)) for member in self.members]
+        bound = {"platform": f"{split_address(config.listen)[0]}:{self.front.listener.port}"} if config.listen else {}
+        if self.sip:
+            bound |= {name.lower(): address for name, address in self.sip.endpoint.addresses.items()}
+        for name, address in bound.items():
+            log.event("listening", front=name, address=address)
         if self.plugins.plan:
             self._follow_plan(self.plugins.plan)
         if self.local:
--- a/seamlb/emulator/command.py
+++ b/seamlb/emulator/command.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 from pathlib import Path
 
@@ -39,6 +40,42 @@
     click.echo((out / "results.md").read_text(), nl=False)
 
 
+@lab.command()
+@click.option("--front", type=click.Choice(["platform", "tcp", "udp"]), default="platform", show_default=True)
+@click.option("--rate", type=click.FloatRange(0.1, 2000), default=50.0, show_default=True, help="Calls a second.")
+@click.option("--seconds", type=click.FloatRange(0.5, 600), default=10.0, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--fault", "faults", multiple=True, metavar="AT:DESK:WHAT",
+              help="Like 3:desk-1:reset; what is reset, mute, wake, full, empty or drain. May be repeated.")
+@click.option("--plugin", "plugins", multiple=True, type=click.Path(path_type=Path, dir_okay=False, exists=True),
+              help="A plug-in that the agent loads. May be repeated.")
+@click.option("--out", type=click.Path(path_type=Path, file_okay=False), help="A folder for report and chart.")
+def load(front: str, rate: float, seconds: float, seed: int, faults: tuple[str, ...], plugins: tuple[Path, ...],
+         out: Path | None) -> None:
+    """Load on loopback sockets, audited; exit code 1 if a rule did not hold."""
+    from seamlb.emulator import load as loads
+
+    events = []
+    for one in faults:
+        at, _, rest = one.partition(":")
+        desk, _, what = rest.partition(":")
+        try:
+            events.append((float(at), desk, what))
+        except ValueError:
+            what = ""
+        if what not in loads.FAULTS or desk not in {f"desk-{n}" for n in range(loads.DESKS)}:
+            click.echo(f"seamlb lab: --fault {one}: not AT:DESK:WHAT with {', '.join(loads.FAULTS)}", err=True)
+            sys.exit(2)
+    table = "".join(f'[[plugins.plugin]]\nfile = "{path.resolve()}"\nmost = 1.0\n' for path in plugins)
+    asked = loads.Load(rate, seconds, front, seed=seed, faults=tuple(events), plugins=table)
+    report = asyncio.run(loads.play(asked))
+    lines = loads.report_lines(asked, report)
+    click.echo("\n".join(lines))
+    if out:
+        loads.save(out, asked, report, lines)
+    sys.exit(1 if report.broken or report.exit_code else 0)
+
+
 @lab.command()
 @click.argument("first")
 @click.argument("second")
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,7 +16,7 @@
     "sip": {"log", "net", "protocol"},
     "fronts": WIRES | {"api"}, "desks": WIRES, "membership": WIRES,
     "planning": {"api", "log"},
-    "emulator": {"__version__", "api", "log", "planning", "plugins", "routing"},
+    "emulator": {"__version__", "api", "log", "planning", "plugins", "protocol", "routing"},
     "plugins": {"api", "log", "routing"},
     "hook": {"log"},
     "config": {"api", "fronts", "membership", "net", "planning", "plugins", "protocol"},
