--- a/seamlb/planning/solve.py
+++ b/seamlb/planning/solve.py
@@ -273,7 +273,10 @@
         solution = highspy.HighsSolution()
         solution.col_value = _start(program, start)
         solver.setSolution(solution)
-    solver.run()
+    try:
+        solver.run()
+    except (RuntimeError, MemoryError) as error:  # whatever the library's own code may throw
+        raise PlanningError(f"the solver failed: {error}".replace("\n", " ")) from None
     status, info = solver.getModelStatus(), solver.getInfo()
     known = highspy.HighsModelStatus
     if status in (known.kInfeasible, known.kUnboundedOrInfeasible):
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -312,6 +312,16 @@
     assert done.exit_code == 2 and done.stderr.count("\n") == 1 and told in done.stderr
 
 
+def test_a_solver_that_throws_is_one_line(monkeypatch: pytest.MonkeyPatch) -> None:
+    class Throwing(highspy._core._Highs):
+        def run(self) -> object:
+            raise RuntimeError("bad\nalloc")
+
+    monkeypatch.setattr(highspy._core, "_Highs", Throwing)
+    done = run("solve", ROOT / "examples/plan/small.toml", "--quiet")
+    assert done.exit_code == 2 and done.stderr.count("\n") == 1 and "bad alloc" in done.stderr
+
+
 def test_an_answer_that_is_not_exact_does_not_leave(monkeypatch: pytest.MonkeyPatch) -> None:
     real = solver.optimise
     monkeypatch.setattr(solver, "optimise", lambda *args: (lambda f: replace(f, value=f.value + 3.0))(real(*args)))
