--- a/examples/demo.py
+++ b/examples/demo.py
@@ -1,4 +1,4 @@
-"""The main job in about 20 seconds: an agent, three stand-in desks and callers on loopback, and what was carried.
+"""The main job in about 20 seconds from a clean clone: an agent, three stand-in desks and callers on loopback, and what was carried.
 
     python examples/demo.py [SECONDS]
 
@@ -167,4 +167,4 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(main(float(sys.argv[1]) if len(sys.argv) > 1 else 12.0))
+    asyncio.run(main(float(sys.argv[1]) if len(sys.argv) > 1 else 6.0))
