--- a/examples/demo.py
+++ b/examples/demo.py
@@ -1,4 +1,4 @@
-"""The main job in about 20 seconds from a clean clone: an agent, three stand-in desks and callers on loopback, and what was carried.
+"""The main job in about 20 seconds from a clean clone: an agent, three desks and callers on loopback.
 
     python examples/demo.py [SECONDS]
 
