Drop what the repair left unused in carry, and load a plug-in once

Cause: on reading the change again, carry() still had the capacities and the floors' answer of a repair that has had a network of its own since; the control socket's load read and compiled a file twice to find its grant, under a comment that told another grant than it gave. Change: carry() gives flows; load_plugin() picks the grant by the name in the file. Measured: nothing to measure; the tests of both pass unchanged but for the dropped wrapper.

--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -34,7 +34,7 @@
     if plan is None:  # any placement shows the repair's time
         rng = random.Random(2)
         placement = frozenset((d.name, k) for d in made.desks for k in rng.sample(sorted(d.skills), 2))
-        plan = Plan(placement, carry(made, placement, exact=False).flows, Objective(0, 0, 0, 0), "stopped")
+        plan = Plan(placement, carry(made, placement, exact=False), Objective(0, 0, 0, 0), "stopped")
     mender = Repair(made, plan)
     whole = {desk: made.capacity(desk, given) for desk, given in made.given(plan.placement).items()}
     times, kept = [], []
--- a/seamlb/emulator/policies.py
+++ b/seamlb/emulator/policies.py
@@ -31,7 +31,7 @@
 
 
 def _plan(problem: Problem, routes: Counter[tuple[str, str, str]], placement: frozenset[tuple[str, str]]) -> Plan:
-    flows = carry(problem, placement, exact=False).flows
+    flows = carry(problem, placement, exact=False)
     return Plan(placement, Flows(flows.supply, dict(routes)), objective(problem, placement, flows), "stopped")
 
 
--- a/seamlb/planning/carry.py
+++ b/seamlb/planning/carry.py
@@ -6,38 +6,26 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
-
 from seamlb.planning.flow import INFINITE, Network, canonical, cheapest
 from seamlb.planning.model import PERMILLE, Cell, Flows, Placement, Problem
 
 
-@dataclass(slots=True, frozen=True)
-class Carried:
-    """The flows, and whether every office's floor is held."""
-
-    flows: Flows
-    floors_held: bool
-
-
-def carry(problem: Problem, placement: Placement, capacity: Mapping[str, int] | None = None,
-          exact: bool = True) -> Carried:
+def carry(problem: Problem, placement: Placement, exact: bool = True) -> Flows:
     """Worth first, then distance, then the canonical order: supply by class, district and office, then routes by
     desk, class and district, each greatest first.
 
-    `capacity` in units stands in for the desks' own (a desk that is lost, full or cold); without `exact` any flow of
-    the best worth and distance is given, as the canonical one takes longer.
+    Offices' floors come before worth, as far as there is room. Without `exact` any flow of the best worth and
+    distance is given, as the canonical one takes longer.
     """
     net = Network()
     source, sink = net.node(), net.node()
     far = max(problem.times.values(), default=0) + 1
     big = far * (problem.offered + 1)  # a unit of worth outweighs all distance
     huge = big * (max((k.value for k in problem.kinds), default=0) + 1) * (problem.offered + 1)  # a floor, all worth
-    floors, within, beyond = [], {}, {}
+    within, beyond = {}, {}
     for name in sorted(one.name for one in problem.offices):
         office, within[name], beyond[name] = net.node(), net.node(), net.node()
-        floors.append((net.arc(source, office, problem.floors[name], -huge), problem.floors[name]))
+        net.arc(source, office, problem.floors[name], -huge)
         net.arc(source, office, INFINITE)
         net.arc(office, within[name], problem.allowances[name])
         net.arc(office, beyond[name], INFINITE)
@@ -57,8 +45,6 @@
     routes = {}
     for desk, kinds in problem.given(placement).items():
         room = problem.capacity(desk, kinds)
-        if capacity is not None:
-            room = min(room, capacity.get(desk, 0))
         here = net.node()
         net.arc(here, sink, room)
         for kind in kinds:
@@ -70,6 +56,5 @@
     if exact:
         order = [arc for cell in problem.cells for arc in supply[cell]] + list(routes.values())
         canonical(net, potential, order, (sink, source))
-    flows = Flows({cell: (net.flow(a), net.flow(b)) for cell, (a, b) in supply.items()},
-                  {spot: net.flow(arc) for spot, arc in routes.items()})
-    return Carried(flows, all(net.flow(arc) == floor for arc, floor in floors))
+    return Flows({cell: (net.flow(a), net.flow(b)) for cell, (a, b) in supply.items()},
+                 {spot: net.flow(arc) for spot, arc in routes.items()})
--- a/seamlb/planning/solve.py
+++ b/seamlb/planning/solve.py
@@ -62,7 +62,7 @@
     def figures(self, placement: Placement) -> Objective:
         """The exact objective of a placement."""
         if placement not in self.cache:
-            flows = carry(self.problem, placement, exact=False).flows
+            flows = carry(self.problem, placement, exact=False)
             self.cache[placement] = objective(self.problem, placement, flows)
         return self.cache[placement]
 
@@ -116,10 +116,10 @@
         if search.best is None:
             raise
     assert search.best is not None
-    done = carry(problem, search.best)
-    figures = objective(problem, search.best, done.flows)
+    flows = carry(problem, search.best)
+    figures = objective(problem, search.best, flows)
     status = "optimal" if len(proven) == len(STEPS) else "stopped"
-    return Plan(search.best, done.flows, figures, status, tuple(proven), search.bound, search.nodes)
+    return Plan(search.best, flows, figures, status, tuple(proven), search.bound, search.nodes)
 
 
 def _stages(search: Search) -> Iterator[str]:
@@ -298,7 +298,7 @@
 
 def _start(program: Program, placement: Placement) -> list[float]:
     """A known placement with its exact flows, as column values for the solver to begin with."""
-    done = carry(program.problem, placement, exact=False).flows
+    done = carry(program.problem, placement, exact=False)
     values = [0.0] * len(program.low)
     by_district = any(district for _, district, _ in program.routed)
     for pair in placement:
--- a/seamlb/plugins/loading.py
+++ b/seamlb/plugins/loading.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import Annotated, Any
 
 import msgspec
@@ -53,8 +55,11 @@
     return msgspec.structs.replace(table, plugin=plugins, control=control)
 
 
-def load_plugin(path: str, grant: Grant) -> Plugin:
-    """A rule file, or a ready-made module (.wasm); LoadError says why it can't be used."""
+def load_plugin(path: str, grant: Grant, grants: Mapping[str, Grant] = MappingProxyType({})) -> Plugin:
+    """A rule file, or a ready-made module (.wasm); LoadError says why it can't be used.
+
+    Its grant is that of its name in `grants`, which only the file tells, else `grant`.
+    """
     try:
         size = Path(path).stat().st_size
         if size > max(MOST_BYTES, MOST_MODULE):
@@ -67,9 +72,10 @@
             program = read_manifest(custom_section(data))
             from seamlb.plugins.engine import WasmEngine  # the library only where a module needs it
 
-            return Plugin(program, WasmEngine(data, len(program.inputs)), grant, data)
+            engine = WasmEngine(data, len(program.inputs))
+            return Plugin(program, engine, grants.get(program.name, grant), data)
         program = compile_text(data.decode(), path)
-        return Plugin(program, Interpreter(program), grant, data)
+        return Plugin(program, Interpreter(program), grants.get(program.name, grant), data)
     except RuleError as error:
         raise LoadError(str(error)) from None
     except ModuleNotFoundError as error:
--- a/seamlb/plugins/service.py
+++ b/seamlb/plugins/service.py
@@ -64,10 +64,8 @@
                 if not path:
                     raise ValueError("a file is needed")
                 try:
-                    plugin = load_plugin(path, self.grants.get(name, Grant()))
-                    # Grants are the settings': a plug-in that they don't name gets the least there is.
-                    if plugin.name in self.grants:
-                        plugin = load_plugin(path, self.grants[plugin.name])
+                    # Grants are the settings'; one that they don't name gets the usual, a tenth of an office's calls.
+                    plugin = load_plugin(path, self.grants.get(name, Grant()), self.grants)
                 except LoadError as error:
                     raise ValueError(str(error)) from None
                 self.files[plugin.name] = path
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -269,7 +269,7 @@
     demand = {(k.name, "budapest", FLOOD.offices[0].name): 2000 for k in kinds}
     problem = replace(FLOOD, kinds=kinds, desks=many, demand=demand)
     whole = {d: problem.capacity(d, k) for d, k in problem.given(placement).items()}
-    plan = Plan(placement, carry(problem, placement, exact=False).flows, Objective(0, 0, 0, 0), "stopped")
+    plan = Plan(placement, carry(problem, placement, exact=False), Objective(0, 0, 0, 0), "stopped")
     before, after = (Repair(problem, plan).mend(room) for room in (whole, whole | {"x007": 0}))
     load: dict[str, int] = {}
     for (_, desk), units in after.routes.items():
