--- a/seamlb/cli.py
+++ b/seamlb/cli.py
@@ -19,7 +19,7 @@
     help="The JSON configuration (environment: GW_CONFIG).",
 )
 
-
+AS_IN_FILE = config.Told()
 LAZY = {  # module, name, extra
     "lab": ("seamlb.emulator.command", "lab", "lab"),
     "plugin": ("seamlb.plugins.command", "plugin", "plugins"),
@@ -32,9 +32,9 @@
 )
 
 
-def _read(path: str, plugins: str, listen: str = "", name: str = "") -> tuple[config.Config, config.Plugins]:
+def _read(path: str, plugins: str, told: config.Told) -> tuple[config.Config, config.Plugins]:
     """Both files, checked whole; ConfigError if they can't be used."""
-    loaded = config.load(path, listen, name)
+    loaded = config.load(path, told)
     extras = config.load_plugins(plugins, loaded) if plugins else config.Plugins()
     if not loaded.listen and not extras.sip:
         raise config.ConfigError(f"{path}: listen: missing, and no sip front is on")
@@ -46,14 +46,14 @@
     return loaded, extras
 
 
-def _daemon(path: str, plugins: str, listen: str = "", name: str = "") -> Callable[[], Daemon]:
+def _daemon(path: str, plugins: str, told: config.Told = AS_IN_FILE) -> Callable[[], Daemon]:
     """A daemon from checked files, which it reads anew on SIGHUP; one line and exit code 2 if they can't be used."""
     try:
-        loaded, extras = _read(path, plugins, listen, name)
+        loaded, extras = _read(path, plugins, told)
     except config.ConfigError as error:
         click.echo(f"seamlb: {error}", err=True)
         sys.exit(2)
-    return lambda: Daemon(loaded, extras, lambda: _read(path, plugins, listen, name))
+    return lambda: Daemon(loaded, extras, lambda: _read(path, plugins, told))
 
 
 class Commands(click.Group):
@@ -88,9 +88,12 @@
 @PLUGINS
 @click.option("--listen", envvar="GW_LISTEN", default="", metavar="HOST:PORT", help="Where callers connect.")
 @click.option("--name", envvar="GW_NAME", default="", help="This agent's name in its logs.")
-def serve(path: str, plugins: str, listen: str, name: str) -> None:
+@click.option("--management", envvar="GW_MANAGEMENT", default="", metavar="HOST:PORT", help="Where operators call.")
+@click.option("--inherited-fd", envvar="GW_INHERITED_FD", type=click.IntRange(0), default=None, metavar="NUMBER",
+              help="A listening socket handed down by whoever starts this process: callers' connections come by it.")
+def serve(path: str, plugins: str, listen: str, name: str, management: str, inherited_fd: int | None) -> None:
     """Serve calls until SIGTERM."""
-    build = _daemon(path, plugins, listen, name)
+    build = _daemon(path, plugins, config.Told(listen, name, management, inherited_fd))
 
     logging.basicConfig(handlers=[log.Handler()], level=logging.WARNING)
 
--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -35,6 +35,8 @@
 
     name: str
     listen: str
+    management: str  # where operators call; none: nowhere
+    inherited: int | None  # descriptor of a listening socket that was handed down
     seed: int
     sockets: int
     peer_listen: str
@@ -49,8 +51,18 @@
     max_open: int
 
 
-def load(path: str, listen: str = "", name: str = "") -> Config:
-    """Read and check a file; `listen` and `name` come before what the file says."""
+@dataclass(slots=True, frozen=True)
+class Told:
+    """What the start says; it comes before what the file says."""
+
+    listen: str = ""
+    name: str = ""
+    management: str = ""
+    inherited: int | None = None
+
+
+def load(path: str, told: Told = Told()) -> Config:
+    """Read and check a file."""
     try:
         raw = orjson.loads(Path(path).read_bytes())
     except OSError as error:
@@ -60,13 +72,13 @@
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not an object")
     try:
-        return read(raw, listen, name)
+        return read(raw, told)
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         text = f"{error} missing" if isinstance(error, KeyError) else str(error)
         raise ConfigError(f"{path}: {text}".replace("\n", " ")) from None
 
 
-def read(raw: Mapping[str, Any], listen: str = "", name: str = "") -> Config:
+def read(raw: Mapping[str, Any], told: Told = Told()) -> Config:
     """Check a decoded configuration; what is wrong raises ValueError, TypeError or KeyError."""
     settings = raw["settings"]
     if not isinstance(settings, dict):
@@ -75,16 +87,19 @@
     bounds = settings.get("Limits") or {}
     if raw.get("known"):
         parse_notices(raw["known"])
-    told = {"listen": listen or raw.get("listen"), "board": raw.get("board"), "peer_listen": raw.get("peer_listen")}
-    addresses = {key: str(address) for key, address in told.items() if address}
+    named = {key: raw.get(key) for key in ("listen", "management", "board", "peer_listen")}
+    named |= {key: value for key in ("listen", "management") if (value := getattr(told, key))}
+    addresses = {key: str(address) for key, address in named.items() if address}
     for key, address in addresses.items():
         try:
             split_address(address)
         except ValueError:
             raise ValueError(f"{key}: not host:port: {address!r}") from None
     return Config(
-        name=name or str(raw.get("name", "seamlb")),
+        name=told.name or str(raw.get("name", "seamlb")),
         listen=addresses.get("listen", ""),
+        management=addresses.get("management", ""),
+        inherited=told.inherited,
         seed=int(str(raw.get("seed", "0")), 16),
         sockets=int(limits.get("sockets", 1024)),
         peer_listen=addresses.get("peer_listen", ""),
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -6,15 +6,17 @@
 import signal
 from collections.abc import Callable
 from dataclasses import fields, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from seamlb import __version__, log
 from seamlb.config import Config, ConfigError, Plugins
 from seamlb.desks.platform import PlatformDesks
 from seamlb.desks.sip import SipDesks
+from seamlb.fronts.management import ManagementFront
 from seamlb.fronts.platform import PlatformFront
 from seamlb.fronts.sip import SipFront
 from seamlb.hook import Hook
+from seamlb.lifecycle import Lifecycle
 from seamlb.membership.board import Board
 from seamlb.membership.consul import Consul
 from seamlb.net.connection import split_address
@@ -32,9 +34,8 @@
 TAKEN_OVER = ("board", "known", "plan", "plugins")  # by SIGHUP
 BEAT_EVERY = 0.1  # seconds between two portions of what plug-ins learn beside the calls
 STEER_EVERY = 0.25  # seconds between two looks at the plan's shares
-KEEP_TAKING = 0.7  # seconds after SIGTERM in which requests still come
-DRAIN_MOST = 3.0  # seconds: SIGKILL comes no sooner than the longest deadline, or this, and KEEP_TAKING after SIGTERM
-DRAIN_MARGIN = 0.3  # of that, kept for the last answers' way out
+TEND_EVERY = 0.05  # seconds between two looks at what the lifecycle wants of listeners and connections
+KNOW_DESKS = 1.0  # seconds that a process which takes over waits for the desks' state before it says that it is ready
 CLIENT_SHARE = 0.6  # part of the descriptors that callers may hold; the platform says they take a third
 MAX_DATAGRAM = 256
 
@@ -49,7 +50,8 @@
         self.endpoint: Endpoint | None = None
 
     async def start(self) -> None:
-        self.endpoint = await Endpoint.bind(self.config.peer_listen, "peer", self._received)
+        shared = self.config.inherited is not None  # the process before this one has it bound still
+        self.endpoint = await Endpoint.bind(self.config.peer_listen, "peer", self._received, shared)
 
     def _received(self, data: bytes, address: tuple[str, int]) -> None:
         sender = self.senders.get(address)
@@ -79,18 +81,22 @@
         self.hook = Hook(plugins.hook) if plugins.hook else None
         clock = Clock().now
         self.local = self._local(plugins.plugins, clock)
+        longest = max(kind.deadline for kind in settings.classes) / 1000.0
+        self.lifecycle = Lifecycle(longest, config.inherited is not None)
         self.agent = Agent(
             settings, config.seed, config.max_open, clock, observe=self._observe if self.hook else None,
             advisor=self.local.advisor if self.local else None)
+        self.agent.leaving = lambda: not self.lifecycle.takes(asyncio.get_running_loop().time())
         self.control: ControlSocket | None = None
         self.guide: Guide | None = None
         self.front = PlatformFront(
-            self.agent, config.listen, int(config.sockets * CLIENT_SHARE), config.tenants
+            self.agent, self.lifecycle, config.listen, int(config.sockets * CLIENT_SHARE), config.tenants
         )
+        self.management = ManagementFront(config.management, self.lifecycle, self.figures)
         self.sip: SipFront | None = None
         if plugins.sip:
             classify = self.hook.classify if self.hook else None
-            self.sip = SipFront(self.agent, plugins.sip, config.tenants, classify)
+            self.sip = SipFront(self.agent, self.lifecycle, plugins.sip, config.tenants, classify)
         self.desks: PlatformDesks | SipDesks
         if plugins.desks:
             self.desks = SipDesks(SipEndpoint("desk"), plugins.desks.transport.upper(), settings.fields)
@@ -178,12 +184,19 @@
             await self.desks.endpoint.listen(self.plugins.desks.udp, self.plugins.desks.tcp)
         if config.known:
             self.board.known(config.known)
-        if config.listen:
+        loop = asyncio.get_running_loop()
+        if config.management:
+            self.management.start()
+        if config.listen and self.lifecycle.listens(loop.time()):
             self.front.start()
         if self.sip:
             await self.sip.start()
-        loop = asyncio.get_running_loop()
         self.following = [loop.create_task(self._follow(member)) for member in self.members]
+        if config.inherited is not None:
+            # The process before this one still takes calls: this one begins when it knows the desks.
+            if isinstance(self.desks, PlatformDesks):
+                await self.desks.known(KNOW_DESKS)
+            self.front.start(config.inherited)
         bound = {"platform": f"{split_address(config.listen)[0]}:{self.front.listener.port}"} if config.listen else {}
         if self.sip:
             bound |= {name.lower(): address for name, address in self.sip.endpoint.addresses.items()}
@@ -198,9 +211,30 @@
 
                 self.control = ControlSocket(self.local.table.control, self.local.handle)
                 await self.control.start()
-        self.front.ready = True
+        self.lifecycle.started(loop.time())
+        self.following.append(loop.create_task(self._tend()))
         log.event("serving", name=config.name, listen=config.listen, version=__version__)
 
+    async def _tend(self) -> None:
+        """Have the fronts do what the lifecycle says, from a quiesce or a drain on."""
+        while True:
+            await asyncio.sleep(TEND_EVERY)
+            try:
+                self.tend()
+            except Exception as error:  # what is left can still be tended the next time
+                log.event("fault", where="lifecycle", error=repr(error), trace=log.trace(error))
+
+    def tend(self) -> None:
+        """Do what the lifecycle says now."""
+        now = asyncio.get_running_loop().time()
+        self.front.tend(now)
+        if self.sip:
+            self.sip.tend(now)
+
+    def figures(self) -> dict[str, Any]:
+        """What `/admin/stats` shows."""
+        return {}
+
     async def _follow(self, member: Membership) -> None:
         """Follow a list; a fault is logged and it is followed anew, as a drain must not go unheard."""
         while True:
@@ -246,21 +280,16 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self.term.wait()
+        self.lifecycle.terminate(loop.time())
+        self.tend()  # from now on a shared socket is the other process's alone
         log.event("draining", open=self.agent.unanswered)
-        self.front.drain()
-        if self.sip:
-            self.sip.drain()
-        await asyncio.sleep(KEEP_TAKING)
-        self.front.stop_listening()
-        if self.sip:
-            self.sip.stop_listening()
-        longest = max(kind.deadline for kind in self.config.settings.classes) / 1000.0
-        try:
-            await asyncio.wait_for(self.agent.idle.wait(), max(0.0, min(longest, DRAIN_MOST) - DRAIN_MARGIN))
-        except TimeoutError:
+        while not self.lifecycle.over(loop.time(), self.agent.unanswered, len(self.front.clients)):
+            await asyncio.sleep(TEND_EVERY)
+        if self.agent.unanswered:
             log.event("drain_late", open=self.agent.unanswered)
             self.agent.give_up()
             await self.agent.idle.wait()
+        self.lifecycle.ended(loop.time())
         await self.close()
         # The loop puts the default back when it closes: a SIGHUP until the exit must not end the drain as a crash.
         loop.remove_signal_handler(signal.SIGHUP)
@@ -274,8 +303,8 @@
         await asyncio.gather(*self.following, return_exceptions=True)
         if self.control:
             await self.control.close()
-        self.front.stop_listening()
         self.front.close()
+        self.management.close()
         if self.sip:
             self.sip.close()
         self.desks.close()
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -11,6 +11,7 @@
 
 from seamlb import log
 from seamlb.fronts.figures import BadCall, figures, patience
+from seamlb.lifecycle import Lifecycle
 from seamlb.net.connection import Connection, Listener
 from seamlb.net.lag import Lag
 from seamlb.net.reason import CloseReason
@@ -72,8 +73,11 @@
 class PlatformFront:
     """Listens where the platform says."""
 
-    def __init__(self, agent: Agent, address: str, limit: int, tenants: Sequence[str]) -> None:
+    def __init__(
+        self, agent: Agent, lifecycle: Lifecycle, address: str, limit: int, tenants: Sequence[str]
+    ) -> None:
         self.agent = agent
+        self.lifecycle = lifecycle
         self.address = address
         self.listener = Listener("client", limit, self._serve)
         self.clients: set[Client] = set()
@@ -83,23 +87,31 @@
         self.classes = {kind.name: place for place, kind in enumerate(agent.settings.classes)}
         self.tenants = {name: place for place, name in enumerate(tenants)}
         self.lag: Lag | None = None
-        self.ready = False
-        self.draining = False
 
-    def start(self) -> None:
-        self.listener.start_at(self.address)
+    def start(self, descriptor: int | None = None) -> None:
+        """Listen on our address, or on the socket that was handed down."""
+        if descriptor is None:
+            self.listener.start_at(self.address)
+        else:
+            self.listener.start_on(descriptor)
         self.lag = Lag()
 
-    def drain(self) -> None:
-        """Tests fail from now on; what comes is still taken until `stop_listening`."""
-        self.draining = True
+    def tend(self, now: float) -> None:
+        """Do what the lifecycle says of the listener and of connections without an open set-up."""
+        if not self.lifecycle.listens(now):
+            self.listener.stop()
+        least = self.lifecycle.spares(now)
+        if least == math.inf:
+            return
+        standing = {call.client for call in self.calls.values()} if self.lifecycle.keeps_standing else set()
+        for client in self.clients - standing:
+            if client.connection.quiet(least):
+                client.connection.close(CloseReason.QUIESCED)
 
-    def stop_listening(self) -> None:
+    def close(self) -> None:
         self.listener.stop()
         if self.lag:
             self.lag.stop()
-
-    def close(self) -> None:
         for client in list(self.clients):
             client.connection.finish(CloseReason.SHUTDOWN)
 
@@ -187,8 +199,7 @@
                     cause = parameter(message.get("reason"), "cause")
                     self._left(theirs, int(cause) if digits(cause) else NORMAL)
             case "OPTIONS":
-                up = self.ready and not self.draining
-                client.connection.send(response(message, 200 if up else 503).encode())
+                client.connection.send(response(message, 200 if self.lifecycle.ready else 503).encode())
             case _:
                 client.connection.send(response(message, 405, ALLOW).encode())
 
--- a/seamlb/fronts/sip.py
+++ b/seamlb/fronts/sip.py
@@ -12,6 +12,7 @@
 
 from seamlb import log
 from seamlb.fronts.figures import BadCall, figures, patience
+from seamlb.lifecycle import Lifecycle
 from seamlb.net.lag import Lag
 from seamlb.protocol.dialog import Dialog, Resender
 from seamlb.protocol.sip import Message, digits, parameter, response
@@ -155,9 +156,11 @@
     """Takes SIP calls for the core."""
 
     def __init__(
-        self, agent: Agent, config: SipFrontConfig, tenants: Sequence[str], classify: Classify | None = None
+        self, agent: Agent, lifecycle: Lifecycle, config: SipFrontConfig, tenants: Sequence[str],
+        classify: Classify | None = None,
     ) -> None:
         self.agent = agent
+        self.lifecycle = lifecycle
         self.config = config
         self.classify = classify
         self.endpoint = SipEndpoint("sip", config.connections)
@@ -168,17 +171,15 @@
         self.pending: dict[tuple[str, ...], Call] = {}
         self.dialogs: dict[tuple[str, str, str], Call] = {}
         self.lag: Lag | None = None
-        self.draining = False
 
     async def start(self) -> None:
         await self.endpoint.listen(self.config.udp, self.config.tcp)
         self.lag = Lag()
 
-    def drain(self) -> None:
-        self.draining = True
-
-    def stop_listening(self) -> None:
-        self.endpoint.stop_listening()
+    def tend(self, now: float) -> None:
+        """Do what the lifecycle says of the listener; its callers' connections end with the process."""
+        if not self.lifecycle.listens(now):
+            self.endpoint.stop_listening()
 
     def close(self) -> None:
         if self.lag:
@@ -195,7 +196,8 @@
             case "CANCEL":
                 self._cancel(message, entry)
             case "OPTIONS" if not parameter(message.get("to"), "tag"):
-                self._respond(message, entry, 503 if self.draining else 200, ALLOW, ("Accept", "application/sdp"))
+                status = 200 if self.lifecycle.ready else 503
+                self._respond(message, entry, status, ALLOW, ("Accept", "application/sdp"))
             case "INVITE" if not parameter(message.get("to"), "tag"):
                 self._invite(message, entry, flow)
             case _:
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -80,6 +80,20 @@
         except OSError:
             return True
 
+    def quiet(self, least: float) -> bool:
+        """May it be closed now without breaking anything off, having been silent for `least` seconds?
+
+        Looks into the socket too: what has come but was not read yet must not be turned back by the close.
+        """
+        if self.closed or self.in_use() or asyncio.get_running_loop().time() - self.last_read < least:
+            return False
+        try:
+            return not self.stream.writing() and self.stream.socket.recv(1, socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False  # the reader sees it too
+
     def expect(self) -> None:
         """A whole message must come in time from now, or the connection is closed."""
         if self._late is None and not self.closed:
@@ -249,6 +263,19 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
         sock.listen(512)
+        self._start(sock)
+
+    def start_on(self, descriptor: int) -> None:
+        """Listen on a socket that was handed down; other processes may accept from it too.
+
+        It is closed at the end and never shut down, as that would end it for them as well.
+        """
+        sock = socket.socket(fileno=descriptor)
+        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError(errno.EINVAL, f"descriptor {descriptor} is no listening socket")
+        self._start(sock)
+
+    def _start(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         self.port = sock.getsockname()[1]
         self.add_socket(sock)
--- a/seamlb/net/datagram.py
+++ b/seamlb/net/datagram.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -22,11 +23,20 @@
         self.address = ("", 0)
 
     @classmethod
-    async def bind(cls, address: str, kind: str, received: Received) -> Endpoint:
+    async def bind(cls, address: str, kind: str, received: Received, shared: bool = False) -> Endpoint:
+        """Bind an address; a shared one may be bound by another process too, the last of which gets what comes."""
+        host, port = split_address(address)
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            if shared:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.setblocking(False)
+            sock.bind((host, port))
+        except OSError:
+            sock.close()
+            raise
         loop = asyncio.get_running_loop()
-        _, endpoint = await loop.create_datagram_endpoint(
-            lambda: cls(kind, received), local_addr=split_address(address)
-        )
+        _, endpoint = await loop.create_datagram_endpoint(lambda: cls(kind, received), sock=sock)
         return endpoint
 
     def connection_made(self, transport: Any) -> None:
--- a/seamlb/net/reason.py
+++ b/seamlb/net/reason.py
@@ -16,6 +16,8 @@
     IDLE = "idle"  # nothing on it for too long
     SILENT = "silent"  # an answer that was due never came
     REPLACED = "replaced"  # the machine behind it is no longer wanted or has a new address
+    ANSWERED = "answered"  # one call to a connection, and it has its answer
+    QUIESCED = "quiesced"  # idle, and this process is being emptied
     SLOW = "slow"  # no whole message came in time
     EVICTED = "evicted"  # idle, and another wanted its place
     LIMIT = "limit"  # more connections than this process may hold
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -87,6 +87,7 @@
         self.module = Controller(advisor.extend(settings) if advisor else settings, seed)
         self.clock = clock or Clock().now
         self.max_open = max_open
+        self.leaving: Callable[[], bool] = lambda: False  # is the process being emptied, with no time left to wait?
         self.observe = observe
         self.guide = guide
         self.desks: DeskClient | None = None
@@ -219,8 +220,8 @@
     # -- the life of a request ----------------------------------------------------------------
 
     def take(self, request: Request, caller: Caller) -> Life | None:
-        """Take a request; its final answer comes by `caller`. None: answered already, too many open."""
-        if self.unanswered >= self.max_open:
+        """Take a request; its final answer comes by `caller`. None: answered already, too many open or leaving."""
+        if self.unanswered >= self.max_open or self.leaving():
             caller.refused(FULL_MS)
             return None
         self.taken += 1
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -380,7 +380,7 @@
         daemon = Daemon(config(**change))
         self.addAsyncCleanup(self._stop, daemon, desks)
         daemon.front.start()
-        daemon.front.ready = True
+        daemon.lifecycle.started(0.0)
         self.address = f"127.0.0.1:{daemon.front.listener.port}"
         daemon.agent.list_changed(api.Scope.CACHED, [self.desk(k, await d.start()) for k, d in enumerate(desks)])
         for place, one in enumerate(desks):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,13 +14,15 @@
     "api": set(), "control": {"api"}, "drill": {"api", "control"},
     "routing": {"api", "control", "log"},
     "sip": {"log", "net", "protocol"},
-    "fronts": WIRES | {"api"}, "desks": WIRES, "membership": WIRES,
+    "lifecycle": set(),
+    "fronts": WIRES | {"api", "lifecycle"}, "desks": WIRES, "membership": WIRES,
     "planning": {"api", "log"},
     "emulator": {"__version__", "api", "log", "planning", "plugins", "protocol", "routing"},
     "plugins": {"api", "log", "routing"},
     "hook": {"log"},
     "config": {"api", "fronts", "membership", "net", "planning", "plugins", "protocol"},
-    "daemon": {"config", "desks", "fronts", "hook", "membership", "planning", "plugins", "__version__"} | WIRES,
+    "daemon": {"__version__", "config", "desks", "fronts", "hook", "lifecycle", "membership", "planning", "plugins"}
+    | WIRES,
     "cli": {"__version__", "config", "daemon", "emulator", "hook", "log", "planning", "plugins"},
     "__main__": {"cli"}, "__init__": set(),
 }
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,143 @@
+"""Operators' calls: HTTP as a server reads it, and stories of them beside callers' connections."""
+
+import asyncio
+import json
+import unittest
+from typing import Any
+from unittest import mock
+
+from seamlb import lifecycle
+from seamlb.fronts import management
+from seamlb.protocol.http import HttpError, Request, RequestReader, ResponseReader
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, bye, invite, plain, silent
+
+
+class Reading(unittest.TestCase):
+    def read(self, data: bytes) -> Request | None:
+        """One way for all cuts: byte by byte, and at once."""
+        reader, whole = RequestReader(), RequestReader().feed(data)
+        told = [found for at in range(len(data)) if (found := reader.feed(data[at : at + 1]))]
+        self.assertEqual(told[:1], [whole] if whole else [])
+        return whole
+
+    def test_requests(self) -> None:
+        for data, wanted in (
+            (b"GET /a?b=1 HTTP/1.1\r\nHost: x\r\n\r\n", ("GET", "/a", b"")),
+            (b"\r\nGET http://x:1/a/b HTTP/1.1\r\n\r\n", ("GET", "/a/b", b"")),
+            (b"POST /a HTTP/1.0\r\nContent-Length: 3\r\n\r\nabc", ("POST", "/a", b"abc")),
+            (b"POST /a HTTP/1.1\r\ntransfer-ENCODING: Chunked\r\n\r\n2;x\r\nab\r\n1\r\nc\r\n0\r\nT: 1\r\n\r\n",
+             ("POST", "/a", b"abc")),
+        ):
+            found = self.read(data)
+            assert found
+            self.assertEqual((found.method, found.path, found.body), wanted)
+
+    def test_what_is_not_whole_is_waited_for(self) -> None:
+        for data in (b"", b"GET / HTTP/1.1\r\nHost: x\r\n", b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab"):
+            self.assertIsNone(self.read(data))
+
+    def test_what_is_no_request_says_how_it_is_answered(self) -> None:
+        for data, status in (
+            (b"hello\r\n\r\n", 400), (b"GET / SIP/2.0\r\n\r\n", 400), (b"G/T / HTTP/1.1\r\n\r\n", 400),
+            (b"GET / HTTP/2.0\r\n\r\n", 505), (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", 413),
+            (b"GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+            (b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400), (b"x" * 20000, 431),
+        ):
+            with self.subTest(data=data[:40]), self.assertRaises(HttpError) as raised:
+                RequestReader().feed(data)
+            self.assertEqual(raised.exception.status, status)
+
+
+class Operators(Story):
+    async def serve(self, *desks: ScriptedDesk, **change: Any) -> Any:
+        daemon = await self.start(*desks, management="127.0.0.1:0", **change)
+        daemon.management.start()
+        self.operators = f"127.0.0.1:{daemon.management.listener.port}"
+        daemon.following.append(asyncio.create_task(daemon._tend()))
+        return daemon
+
+    async def raw(self, data: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection(*self.operators.split(":"))
+        writer.write(data)
+        told = await asyncio.wait_for(reader.read(), PATIENCE)
+        writer.close()
+        return told
+
+    async def call(self, method: str, path: str) -> tuple[int, Any]:
+        told = ResponseReader().feed(await self.raw(f"{method} {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode()))
+        assert told and not told.keeps
+        return told.status, json.loads(told.body) if told.body else None
+
+    async def test_a_quiesce_empties_the_agent_and_a_resume_brings_it_back(self) -> None:
+        desk = ScriptedDesk()
+        daemon = await self.serve(desk)
+        self.assertEqual(await self.call("GET", "/admin/health"), (200, {"phase": "ready"}))
+        idle, busy = await self.caller(), await self.caller()
+        idle.send(plain("OPTIONS", "t"))
+        await idle.until(200)
+        busy.send(invite())
+        await busy.until(200)
+        with mock.patch.multiple(lifecycle, SETTLE=0.0, CALM=0.0, HURRY=0.0):
+            self.assertEqual((await self.call("POST", "/admin/quiesce"))[0], 200)
+            self.assertEqual(await self.call("GET", "/admin/health"), (503, {"phase": "quiescing"}))
+            with self.assertRaises(EOFError):
+                await idle.next()
+            late = await self.caller()
+            late.send(invite("00000000000000a2"))  # the front had not noticed yet: it is served as ever
+            await late.until(200)
+            desk.peers[0].send(bye("00000000000000a1", 16))
+            await busy.until("BYE")  # its connection stayed for this, and goes with it
+            with self.assertRaises(EOFError):
+                await busy.next()
+        self.assertEqual([one["reason"] for one in self.events("connection_end") if one["kind"] == "client"],
+                         ["quiesced", "quiesced"])
+        self.assertEqual(await self.call("POST", "/admin/resume"), (200, {"phase": "ready"}))
+        again = await self.caller()
+        again.send(plain("OPTIONS", "t"))
+        await again.until(200)
+        self.assertEqual(len(daemon.front.clients), 2)
+
+    async def test_a_connection_that_never_rests_is_told_to_come_back_elsewhere(self) -> None:
+        desk = ScriptedDesk(silent)
+        await self.serve(desk)
+        busy = await self.caller()
+        busy.send(invite())
+        await desk.until("INVITE")
+        with mock.patch.multiple(lifecycle, SETTLE=0.0, HURRY=0.0, REFUSE=0.0):
+            await self.call("POST", "/admin/quiesce")
+            busy.send(invite("00000000000000a2"))
+            told = await busy.until(503)
+            self.assertEqual((told.get("call-id"), told.get("retry-after")), ("00000000000000a2", "1"))
+            busy.send(plain("CANCEL"))
+            with self.assertRaises(EOFError):
+                await busy.next()
+
+    async def test_what_is_wrong_is_said_and_a_drain_can_not_be_called_back(self) -> None:
+        daemon = await self.serve(ScriptedDesk())
+        self.assertEqual((await self.call("GET", "/admin/nothing"))[0], 404)
+        self.assertIn(b"Allow: POST\r\n", await self.raw(b"GET /admin/resume HTTP/1.1\r\n\r\n"))
+        self.assertTrue((await self.raw(b"what\r\n\r\n")).startswith(b"HTTP/1.1 400 "))
+        daemon.lifecycle.terminate(0.0)
+        self.assertEqual(await self.call("POST", "/admin/resume"), (409, {"phase": "draining"}))
+
+    async def test_callers_who_say_nothing_whole_do_not_keep_others_out(self) -> None:
+        with mock.patch.object(management, "MOST", 3):
+            daemon = await self.serve(ScriptedDesk())
+        mute = [await Peer.dial(self.operators) for _ in range(5)]
+        for one in mute:
+            one.send(b"GET /admin/hea")
+            self.addCleanup(one.close)
+        self.assertEqual((await self.call("GET", "/admin/health"))[0], 200)
+        self.assertLessEqual(len(daemon.management.listener.open), 3)
+
+    async def test_a_stop_of_the_listener_does_not_make_later_set_ups_seem_old(self) -> None:
+        """Seen with the shared socket: the beat that tells a late process ended with the listener."""
+        daemon = await self.serve(ScriptedDesk())
+        daemon.front.listener.stop()
+        daemon.lifecycle.shared = True
+        daemon.lifecycle.terminate(asyncio.get_running_loop().time())
+        daemon.front.tend(asyncio.get_running_loop().time())
+        due = daemon.front.lag.due
+        await self.eventually(lambda: daemon.front.lag.due > due)
--- a/tests/test_plugin_daemon.py
+++ b/tests/test_plugin_daemon.py
@@ -148,7 +148,7 @@
         assert daemon.local is not None
         daemon.local.chain.switch(daemon.agent.clock(), "p")
         caller = await self.caller()
-        daemon.front.drain()
+        daemon.lifecycle.terminate(asyncio.get_running_loop().time())
         caller.send(invite("00000000000000a1"))
         daemon.local.chain.roll_back(daemon.agent.clock(), "p")
         self.assertEqual((await caller.until(200)).get("call-id"), "00000000000000a1")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -14,7 +15,7 @@
 from click.testing import CliRunner
 
 from seamlb.cli import main
-from tests.loopback import PATIENCE, Peer, ScriptedDesk, Stand, Story, http, invite, notices, silent
+from tests.loopback import PATIENCE, SDP, Peer, ScriptedDesk, Stand, Story, http, invite, notices, silent
 from tests.support import RAW
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -95,14 +96,15 @@
             sys.executable, *arguments, cwd=ROOT, env=os.environ | environment,
             stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
 
-        async def stop() -> None:
-            if process.returncode is None:
-                process.kill()
-            await process.communicate()
-
-        self.addAsyncCleanup(stop)
+        self.addAsyncCleanup(self.gone, process)
         return process
 
+    @staticmethod
+    async def gone(process: asyncio.subprocess.Process) -> None:
+        if process.returncode is None:
+            process.kill()
+        await process.communicate()
+
     async def line(self, process: asyncio.subprocess.Process, holds: str) -> str:
         async with asyncio.timeout(PATIENCE):
             while holds not in (line := (await process.stdout.readline()).decode()):
@@ -179,6 +181,63 @@
         for one in boards:
             one.server.close()
 
+    async def test_an_upgrade_hands_callers_over_by_the_inherited_socket(self) -> None:
+        desk = ScriptedDesk()
+        member = {"id": "d", "host_port": await desk.start(), "cell": 0, "phase": "Ready"}
+        known = {"rev": 1, "notices": [{"rev": 1, "pool": {"complete": True, "members": [member]}}]}
+        held = socket.create_server(("127.0.0.1", 0))
+        listen = "{}:{}".format(*held.getsockname())
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
+        settings = RAW | {"Limits": RAW["Limits"] | {"Peers": True}}
+        path.write_text(json.dumps({
+            "settings": settings, "known": known, "listen": listen, "peer_listen": await self.free_address()}))
+
+        async def agent() -> asyncio.subprocess.Process:
+            fd = os.dup(held.fileno())
+            try:
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "seamlb", cwd=ROOT, pass_fds=(fd,), stdout=subprocess.PIPE,
+                    env=os.environ | {"GW_CONFIG": str(path), "GW_INHERITED_FD": str(fd),
+                                      "GW_MANAGEMENT": await self.free_address()})
+            finally:
+                os.close(fd)
+            self.addAsyncCleanup(self.gone, process)
+            await self.line(process, '"serving"')
+            return process
+
+        old = await agent()
+        first = await Peer.dial(listen)
+        first.send(invite())
+        self.assertEqual((await first.until(200)).body, SDP)
+        new = await agent()  # the peers' address is bound twice now
+        old.send_signal(signal.SIGTERM)
+        await self.line(old, '"draining"')
+        second = await Peer.dial(listen)
+        second.send(invite("00000000000000a2"))
+        self.assertEqual((await second.until(200)).body, SDP)
+        with self.assertRaises(EOFError):  # sent away at rest, before its process ends
+            await first.next()
+        self.assertEqual(await asyncio.wait_for(old.wait(), PATIENCE), 0)
+        second.send(invite("00000000000000a3"))
+        self.assertEqual((await second.until(200)).body, SDP)
+        new.send_signal(signal.SIGTERM)
+        self.assertEqual(await asyncio.wait_for(new.wait(), PATIENCE), 0)
+        for one in (first, second):
+            one.close()
+        held.close()
+        await desk.stop()
+
+    async def test_a_descriptor_that_is_no_listening_socket_is_one_line(self) -> None:
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            fd = ours.fileno()
+            agent = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "seamlb", "serve", "--config", EXAMPLE, "--inherited-fd", str(fd), cwd=ROOT,
+                pass_fds=(fd,), stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+            _, told = await asyncio.wait_for(agent.communicate(), PATIENCE)
+        self.assertEqual((agent.returncode, told.count(b"\n")), (1, 1), told)
+        self.assertIn(f"descriptor {fd} is no listening socket".encode(), told)
+
     async def test_the_example_runs_as_written(self) -> None:
         desk = await self.process("examples/toy.py", "desk")
         await self.line(desk, "toy desk on")
