Show staff the figures, each counted where its fact happens

Design: routing/counters.py holds them. fulfilled, throttled and faulted are counted in Agent._answer (and in take, which turns away what is too much), relayed when the INVITE's last byte is written (Connection.send tells), open requests are the lives, out_of_rotation is Controller.avoided, the guard that the route itself asks. Not taken: counting from the log lines or in the front, which would count what it guesses of the core's answers, and a second list of bad desks. The module: the guard of rule 3 and the silent one are one method now, so that it can be asked; no decision differs.

--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -327,7 +327,7 @@
     def _may_send(self, now: float, call: Call, core: Core) -> bool:
         entry, kind = core.entry, call.kind
         spills = entry.cell != call.destination
-        if entry.availability != api.Availability.READY or entry.server in call.tried:  # rule 3
+        if entry.server in call.tried or self._avoids(now, core):
             return False
         if self.set.network:
             barred = entry.cell == self.set.self_number or (call.in_transit and spills) or core.circuits == 0
@@ -340,7 +340,15 @@
             same = {"all": True, "zone": old.zone == entry.zone, "cell": old.cell == entry.cell}[kind.group]
             if kind.effect == "single_shot" or not same or now >= sent + kind.window:
                 return False
-        return not core.silent(now, self.awake, self.limits[0]) and self._room(now, core, spills)
+        return self._room(now, core, spills)
+
+    def _avoids(self, now: float, core: Core) -> bool:
+        ready = core.entry.availability == api.Availability.READY  # rule 3
+        return not ready or core.silent(now, self.awake, self.limits[0])
+
+    def avoided(self, now: float) -> int:
+        """How many listed servers get no call now, whichever it is."""
+        return sum(self._avoids(now, core) for core in self.cores.values())
 
     def _hear(self, now: float, core: Core) -> None:
         """Heard again after a long silence it counts as cold; harms when it was only out of reach."""
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -76,6 +76,7 @@
     ) -> None:
         self.config = config
         self.reread = reread  # reads the files of the start anew, checked whole
+        self.cfg_accepted = self.cfg_invalid = 0  # files at SIGHUP
         self.plugins = plugins = plugins or Plugins()
         settings = config.settings
         self.hook = Hook(plugins.hook) if plugins.hook else None
@@ -102,7 +103,8 @@
             self.desks = SipDesks(SipEndpoint("desk"), plugins.desks.transport.upper(), settings.fields)
         else:
             self.desks = PlatformDesks(
-                settings.fields, config.connect_timeout, self.agent.sampled, self.front.release
+                settings.fields, config.connect_timeout, self.agent.sampled, self.front.release,
+                self.agent.counters.relay,
             )
         self.agent.desks = self.desks
         self.board = Board(config.board, config.zones, self.agent.list_changed)
@@ -233,7 +235,7 @@
 
     def figures(self) -> dict[str, Any]:
         """What `/admin/stats` shows."""
-        return {}
+        return self.agent.figures() | {"cfg_accepted": self.cfg_accepted, "cfg_invalid": self.cfg_invalid}
 
     async def _follow(self, member: Membership) -> None:
         """Follow a list; a fault is logged and it is followed anew, as a drain must not go unheard."""
@@ -257,8 +259,10 @@
             waits: list[str] = []
             self._reload_local(plugins.plugins, waits)
         except ConfigError as error:
+            self.cfg_invalid += 1
             log.event("reload_failed", error=str(error))
             return
+        self.cfg_accepted += 1
         waits += [
             one.name for new, old in ((config, self.config), (plugins, self.plugins)) for one in fields(new)
             if one.name not in TAKEN_OVER and getattr(new, one.name) != getattr(old, one.name)
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -62,10 +62,12 @@
     def __init__(
         self, fields: Sequence[str], connect_timeout: float,
         sampled: Callable[[str, tuple[float, ...]], None], stray: Callable[[str, int], None],
+        relayed: Callable[[], None] = lambda: None,
     ) -> None:
         self.fields = fields
         self.connect_timeout = connect_timeout
         self.sampled = sampled
+        self.relayed = relayed  # an attempt has left whole
         self.stray = stray  # the release of a call that this process never knew
         self.links: dict[str, Link] = {}
         self.legs: dict[tuple[str, str], Leg] = {}
@@ -358,7 +360,7 @@
             "INVITE", leg.attempt, ("X-Cos", request.class_name), ("X-Timer-Ms", str(waited)),
             body=request.description,
         )
-        if not connection.send(message.encode()):
+        if not connection.send(message.encode(), self.relayed):
             self._over(self._key(leg.attempt))
             leg.heard(leg.attempt.leg, Outcome(Status.RESET))
 
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -135,8 +135,8 @@
             self.close(CloseReason.ERROR)
         return self.reason or CloseReason.ERROR
 
-    def send(self, data: bytes) -> bool:
-        """Queue bytes; False if the connection has ended or ends by this."""
+    def send(self, data: bytes, out: Callable[[], None] | None = None) -> bool:
+        """Queue bytes; False if the connection has ended or ends by this. `out` is told when the last is written."""
         if self.closed:
             return False
         try:
@@ -146,6 +146,11 @@
         except StreamBufferFullError:
             self.close(CloseReason.OVERFLOW)
             return False
+        if out is not None:
+            if written.done():
+                out()
+            else:
+                written.add_done_callback(lambda done: None if done.cancelled() or done.exception() else out())
         # A write that is not taken at once is watched: a peer that reads no more must not keep bytes
         # and a descriptor here for ever.
         if not written.done():
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from typing import Any
 
 from seamlb import api, log
 from seamlb.control import Controller
+from seamlb.routing.counters import Counters
 from seamlb.routing.model import Advisor, Answer, Attempt, Caller, Desk, DeskClient, Guide, Outcome, Peers, Request
 
 FULL_MS = 1000.0  # when to come back to an agent that holds all the calls it may
@@ -71,6 +73,7 @@
     sent: float = 0.0  # clock time of the attempt
     answered: bool = False
     stood: bool = False
+    kind: str = ""  # the class that the caller named; local rules may give the request another one
     closed: Callable[[], object] = lambda: None  # tells the front that the life is over
 
 
@@ -96,6 +99,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.taken = 0
         self.unanswered = 0
+        self.counters = Counters()
+        self.counters.know(tuple(kind.name for kind in settings.classes))
         # Desk ids and the module's numbers, kept while the desk is listed or has an attempt or a call that
         # stands: desks are replaced all day. A number is never given twice.
         self.numbers: dict[str, int] = {}
@@ -222,11 +227,12 @@
     def take(self, request: Request, caller: Caller) -> Life | None:
         """Take a request; its final answer comes by `caller`. None: answered already, too many open or leaving."""
         if self.unanswered >= self.max_open or self.leaving():
+            self.counters.throttled[request.class_name] += 1
             caller.refused(FULL_MS)
             return None
         self.taken += 1
         self.unanswered += 1
-        life = Life(self.taken, request, caller)
+        life = Life(self.taken, request, caller, kind=request.class_name)
         self.lives[life.number] = life
         self.idle.clear()
         task = asyncio.get_running_loop().create_task(self._live(life))
@@ -360,14 +366,26 @@
                 return "left"  # it is owed none
             case Answer(description):
                 life.stood = True
-                return "stands" if life.caller.stands(description) else "untold"
+                if not life.caller.stands(description):
+                    return "untold"
+                self.counters.fulfilled[life.kind] += 1
+                return "stands"
             case api.Deny(_, backoff):
+                self.counters.throttled[life.kind] += 1
                 life.caller.refused(backoff)
                 return "refused"
             case _:
+                self.counters.faulted[life.kind] += 1
                 life.caller.failed()
                 return "failed"
 
+    def figures(self) -> dict[str, Any]:
+        """What staff see; which desks are avoided is the module's word."""
+        return self.counters.table() | {
+            "open_requests": len(self.lives), "registry_entries": len(self.listed),
+            "out_of_rotation": self.module.avoided(self.clock()),
+        }
+
     def _ended(self, life: Life, outcome: Outcome, final: bool) -> None:
         """Tell the module how the attempt in the slot ended, and empty the slot."""
         attempt = self._vacate(life)
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -6,10 +6,11 @@
 from typing import Any
 from unittest import mock
 
-from seamlb import lifecycle
+from seamlb import api, lifecycle
 from seamlb.fronts import management
 from seamlb.protocol.http import HttpError, Request, RequestReader, ResponseReader
-from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, bye, invite, plain, silent
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, bye, invite, plain, refuse, silent
+from tests.support import RAW
 
 
 class Reading(unittest.TestCase):
@@ -141,3 +142,48 @@
         daemon.front.tend(asyncio.get_running_loop().time())
         due = daemon.front.lag.due
         await self.eventually(lambda: daemon.front.lag.due > due)
+
+    async def test_the_figures_are_what_callers_and_desks_saw(self) -> None:
+        kept, full = ScriptedDesk(), ScriptedDesk(refuse(503, ("X-Diagnosis", "atb")))
+        daemon = await self.serve(kept, full, settings={"Limits": RAW["Limits"] | {"MaxOpen": 2}})
+        self.assertEqual(await self.figures(), {
+            "fulfilled": {"a": 0, "b": 0}, "throttled": {"a": 0, "b": 0}, "faulted": {"a": 0, "b": 0},
+            "relayed": 0, "open_requests": 0, "registry_entries": 2, "out_of_rotation": 0,
+            "cfg_accepted": 0, "cfg_invalid": 0})
+        caller = await self.caller()
+        caller.send(invite(dest=1))  # full there, stands at the other one
+        await caller.until(200)
+        kept.script = silent
+        caller.send(invite("00000000000000a2", kind="b"))
+        await kept.until("INVITE")
+        caller.send(invite("00000000000000a3", kind="b"))
+        await kept.until("INVITE")
+        caller.send(invite("00000000000000a4", kind="b"))  # too many wait
+        await caller.until(503)
+        caller.send(plain("CANCEL", "00000000000000a2"))  # counts nowhere: nobody was told anything
+        await kept.until("CANCEL")
+        daemon.agent.give_up()
+        await caller.until(500)
+        told = await self.figures()
+        self.assertEqual([told[one] for one in ("fulfilled", "throttled", "faulted", "relayed", "open_requests")],
+                         [{"a": 1, "b": 0}, {"a": 0, "b": 1}, {"a": 0, "b": 1}, 4, 1])
+        daemon.agent.list_changed(api.Scope.DELTA, [self.desk(1, full.address, phase=2)])
+        told = await self.figures()
+        self.assertEqual((told["registry_entries"], told["out_of_rotation"]), (2, 1))
+        daemon.agent.list_changed(api.Scope.DELTA, [self.desk(1, full.address, phase=0)])
+        told = await self.figures()
+        self.assertEqual((told["registry_entries"], told["out_of_rotation"]), (1, 0))
+
+    async def figures(self) -> Any:
+        return (await self.call("GET", "/admin/stats"))[1]
+
+    async def test_an_attempt_counts_once_its_last_byte_is_out(self) -> None:
+        daemon = await self.serve(ScriptedDesk())
+        (connection,) = daemon.desks.links["d0"].open
+        with mock.patch.object(connection.stream, "write_to_fd", return_value=0):  # the desk takes nothing more
+            caller = await self.caller()
+            caller.send(invite())
+            await self.eventually(lambda: connection.stream.writing())
+            self.assertEqual((await self.figures())["relayed"], 0)
+        await caller.until(200)
+        self.assertEqual((await self.figures())["relayed"], 1)
