--- a/seamlb/api.py
+++ b/seamlb/api.py
@@ -6,9 +6,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
-from typing import Any
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+FIXED = ("me", "instances", "zone", "on_request", "network", "self_number", "fields", "report_source")  # for a start
 
 
 class Status(IntEnum):
@@ -88,7 +91,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Settings:
-    """All that an instance is told at its start."""
+    """All that an instance is told at its start, or a later version of it; one is followed by another, never changed.
+    """
 
     me: int
     instances: int
@@ -104,6 +108,23 @@
     repeat: float
     fields: tuple[str, ...]
     report_source: str
+    # Numbers of the classes and tenants that requests may name. Others were dropped; what is open keeps them.
+    kinds: Mapping[str, int] = field(default_factory=dict)
+    tenants: Mapping[str, int] = field(default_factory=dict)
+
+    def after(self, old: Settings) -> Settings:
+        """This version as the one that follows `old`: who has a number there keeps it, and none comes back.
+
+        What is `FIXED` stays as it was at the start.
+        """
+        classes, kinds = _numbered(old.classes, old.kinds, self.classes, self.kinds)
+        allowances, tenants = _numbered(old.allowances, old.tenants, self.allowances, self.tenants)
+        return replace(self, classes=classes, kinds=kinds, allowances=allowances, tenants=tenants,
+                       **{name: getattr(old, name) for name in FIXED})
+
+    def waits(self, old: Settings) -> list[str]:
+        """What differs and is for a start only."""
+        return [name for name in FIXED if getattr(self, name) != getattr(old, name)]
 
     @classmethod
     def from_mapping(cls, raw: Mapping[str, Any]) -> Settings:
@@ -169,9 +190,22 @@
             repeat=_number(extra, "Repeat", 0.0, where="Extra."),
             fields=tuple(report.get("Fields") or ()),
             report_source=str(report.get("Source", "none")),
+            kinds={kind.name: place for place, kind in enumerate(classes)},
+            tenants={str(one.get("Name", "")): place for place, one in enumerate(tenants)},
         )
 
 
+def _numbered(
+    old: tuple[T, ...], had: Mapping[str, int], new: tuple[T, ...], named: Mapping[str, int]
+) -> tuple[tuple[T, ...], dict[str, int]]:
+    """New entries at the numbers that their names had, or at numbers never given before."""
+    entries, numbers = list(old), dict[str, int]()
+    for name, place in named.items():
+        numbers[name] = had.get(name, len(entries))
+        entries[numbers[name] :] = [new[place], *entries[numbers[name] + 1 :]]
+    return tuple(entries), numbers
+
+
 def _part(raw: Mapping[str, Any], key: str, needed: bool = False) -> Mapping[str, Any]:
     value = raw.get(key)
     if value is None and not needed:
@@ -297,7 +331,14 @@
     payload: bytes
 
 
-Event = ListChange | Demand | Stands | Ended | HungUp | Alarm | Sampled | PeerNote
+@dataclass(slots=True, frozen=True)
+class Retuned:
+    """The settings are these from now on; calls that are known keep their class as it was."""
+
+    settings: Settings
+
+
+Event = ListChange | Demand | Stands | Ended | HungUp | Alarm | Sampled | PeerNote | Retuned
 
 # -- actions ----------------------------------------------------------------------------------
 
--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -5,7 +5,7 @@
 import math
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from datetime import datetime
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, TypeVar
@@ -49,6 +49,28 @@
     zones: tuple[str, ...]
     connect_timeout: float  # seconds
     max_open: int
+    raw: Mapping[str, Any]  # as read, without the list of desks
+    source: str = ""  # the file
+
+    def lacks(self, new: Config) -> str:
+        """The first key of this one that a new one has not; empty if it has all."""
+        return _lacks(self.raw, new.raw)
+
+
+def _lacks(old: Any, new: Any, where: str = "") -> str:
+    """Guards against files that are cut or half written: a key with a default would be lost without a word.
+
+    An object in a list has to have what all in the old list have.
+    """
+    if isinstance(old, Mapping) and isinstance(new, Mapping):
+        inner = f"{where}." if where else ""
+        return next((found for key, value in old.items() if (
+            found := _lacks(value, new[key], inner + key) if key in new else inner + key)), "")
+    if isinstance(old, list) and isinstance(new, list) and all(isinstance(one, Mapping) for one in (*old, *new)):
+        shared = set.intersection(*(set(one) for one in old)) if old else set()
+        return next((f"{where}[{place}].{key}" for place, one in enumerate(new)
+                     for key in sorted(shared) if key not in one), "")
+    return ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -72,7 +94,7 @@
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not an object")
     try:
-        return read(raw, told)
+        return replace(read(raw, told), source=path)
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         text = f"{error} missing" if isinstance(error, KeyError) else str(error)
         raise ConfigError(f"{path}: {text}".replace("\n", " ")) from None
@@ -85,6 +107,10 @@
         raise ValueError("settings: not an object")
     limits = raw.get("limits") or {}
     bounds = settings.get("Limits") or {}
+    for part in ("Classes", "Tenants"):
+        names = [str(one.get("Name", "")) for one in settings.get(part) or ()]
+        if doubled := [name for name in names if names.count(name) > 1]:
+            raise ValueError(f"settings.{part}: {doubled[0]!r} is there twice")
     if raw.get("known"):
         parse_notices(raw["known"])
     named = {key: raw.get(key) for key in ("listen", "management", "board", "peer_listen")}
@@ -112,6 +138,7 @@
         zones=tuple(map(str, settings.get("Azs") or ())),
         connect_timeout=float(bounds.get("ConnectTimeout", 500.0)) / 1000.0,
         max_open=int(bounds.get("MaxOpen", 20000)),
+        raw={key: value for key, value in raw.items() if key != "known"},
     )
 
 
--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from bisect import bisect_left
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -52,8 +53,7 @@
         ahead = sum(floors[j] * (tk - limits[j]) for j in range(k))
         if not (below[k] + ahead) * x < tk * f:  # (4)
             return False
-        for i in range(k + 1, len(limits)):
-            ti = limits[i]
+        for i, ti in enumerate(limits[k + 1 :], k + 1):
             later = sum(floors[j] * min(tk, ti - limits[j]) for j in range(k, i))
             later += sum(floors[j] * limits[j] for j in range(k))  # (5)
             window = below[i] - sum(left < ti - tk for left in due)
@@ -91,6 +91,7 @@
     caller: tuple[int, int, int]  # number called, class, tenant: a redial has them all from the first try
     since: float  # clock time of the first try
     over: int  # 1 if the first try went beyond its tenant's share
+    cap: int  # attempts it may have, as it was when it came
     attempts: int = 0
     overtaken: int = 0  # later set-ups there that were answered before it
     core: Core | None = None  # where an attempt is out
@@ -167,46 +168,56 @@
     """Decides for one access node; feed it events in order, carry out the actions it returns."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.set = settings
         self.rng = random.Random(seed)
         self.calls: dict[int, Call] = {}
         self.cores: dict[int, Core] = {}
         self.listed = False
         self.awake, self.last, self.stalled, self.beat = 0.0, 0.0, -1.0, -math.inf
         self.out: list[api.Action] = []
+        self.turned: dict[tuple[int, int, int], tuple[float, float, int]] = {}  # first try, latest, over
+        self.busy: dict[int, float] = {}  # number called: until when none of its lines is worth asking for
+        self.share_room: dict[int, tuple[float, float]] = {}
+        self.taken = Fading(FADE_MS)  # answers of all servers to this node, per ms
+        self.streak = max(1, round(STREAK / settings.instances))
+        self.began, self.lines = math.inf, 0.0  # clock time of the first event; sum of the servers' sizes
+        self.ranks: dict[tuple[int, int, int], int] = {}
+        self._tune(settings)
+
+    def _tune(self, settings: api.Settings) -> None:
+        """Take settings, at the start or anew: what is known of calls and servers stays."""
+        self.set, live = settings, sorted(settings.kinds.values())
         # T_k: the class's aim, all scaled down so that the longest ends where a waiting set-up is repeated.
         # Guards against waits at which a processor works for nothing; could harm where aims are near Repeat.
-        self.longest = max(kind.on_time for kind in settings.classes)
+        self.longest = max(settings.classes[place].on_time for place in live)
         part = min(1.0, settings.repeat / self.longest) if settings.repeat else 1.0
         limit = [kind.on_time * part for kind in settings.classes]
-        self.limits = sorted(set(limit))
+        self.limits = sorted({limit[place] for place in live})
         # Ranks by the paper's U, dearest first; traffic over a tenant's share is a class of its own, and so
         # are redials past their aim: a line given to one would be taken from a call of full worth.
         shares = (1.0, settings.over_share_worth) if settings.allowances else (1.0,)
-        order = sorted(
+        known = sorted(
             (-kind.worth * share * part / kind.width, late, over, place)
             for place, kind in enumerate(settings.classes) for over, share in enumerate(shares)
             for late, part in enumerate((1.0, kind.late_worth) if kind.late_worth < 1.0 else (1.0,))
         )
-        self.ranks = {(place, over, late): rank for rank, (_, late, over, place) in enumerate(order)}
+        order = [one for one in known if one[3] in live]
+        # A class that was dropped has no rank of its own: its last calls go by the next one.
+        had = {rank: key for key, rank in self.ranks.items()}
+        self.ranks = {(one[3], one[2], one[1]): min(bisect_left(order, one), len(order) - 1) for one in known}
+        for call in self.calls.values():
+            call.rank = self.ranks.get(had[call.rank], len(order) - 1)
+        for core in self.cores.values():
+            core.opens, core.depth = {}, min(core.depth, len(order))
         # Lines kept, in roots of a server's, from what is worth less than any call in time and in share.
-        plain = min(kind.worth / kind.width for kind in settings.classes)
+        plain = min(settings.classes[place].worth / settings.classes[place].width for place in live)
         self.reserve = [RESERVE * max(0.0, math.log(plain / -u)) if u and plain else 0.0 for u, *_ in order]
         self.limit_of = [self.limits.index(limit[place]) for _, _, _, place in order]
         self.floor_ratio = [FLOORS[min(rank, len(FLOORS) - 1)] for rank in range(len(order))]
-        self.turned: dict[tuple[int, int, int], tuple[float, float, int]] = {}  # first try, latest, over
-        self.busy: dict[int, float] = {}  # number called: until when none of its lines is worth asking for
         self.patience = max(kind.deadline for kind in settings.classes)
-        self.share_room: dict[int, tuple[float, float]] = {}
-        self.taken = Fading(FADE_MS)  # answers of all servers to this node, per ms
-        self.streak = max(1, round(STREAK / settings.instances))
-        self.began: float | None = None  # clock time of the first event
-        self.lines = 0.0  # sum of the servers' sizes
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take one event at clock time `now`; returns the actions in order."""
-        self.out = []
-        self.began = now if self.began is None else self.began
+        self.out, self.began = [], min(self.began, now)
         # A stall of this node is no evidence of any server: the awake clock leaves it out, and nothing is
         # detected in its batch. A beat tells stalls from sparse events.
         if now - self.last > STALL_MS:
@@ -229,13 +240,14 @@
                     self._turn(now, call)
                 self._forget(event.call)
             case api.Alarm():
-                call = self.calls.get(event.token)
-                if call and call.core is None and now >= call.not_before:
+                if (call := self.calls.get(event.token)) and call.core is None and now >= call.not_before:
                     self._place(now, call)
             case api.ListChange():
                 self._list(now, event)
             case api.Sampled():
                 self._report(now, event.server, event.report)
+            case api.Retuned():
+                self._tune(event.settings)
         return self.out
 
     def floors(self, now: float, core: Core) -> list[float]:
@@ -249,7 +261,7 @@
         Its part by lines of all answers to this node. Guards rule 4 and the floors where each of many
         nodes meets a server once in seconds and so knows no rate of it; harms where lines tell little.
         """
-        seen = 1.0 - math.exp(((self.began or 0.0) - now) / FADE_MS)  # the rate began at nought
+        seen = 1.0 - math.exp((self.began - now) / FADE_MS)  # the rate began at nought
         rate = self.taken.get(now) / seen if seen else 0.0
         return max(rate * core.size() / max(self.lines, 1.0), 1.0 / FADE_MS)  # at least a trickle
 
@@ -265,8 +277,7 @@
         if wait >= self.limits[0] or not holds(due, per_limit, x, self.limits, 1.0):
             verdict = 2
         else:
-            calm = wait < MARGIN * self.limits[0] and holds(due, per_limit, x, self.limits, MARGIN)
-            verdict = 0 if calm else 1
+            verdict = 1 - (wait < MARGIN * self.limits[0] and holds(due, per_limit, x, self.limits, MARGIN))
         core.verdicts.append(verdict)
         if len(core.verdicts) == self.streak:
             low, high = min(core.verdicts), max(core.verdicts)
@@ -304,9 +315,8 @@
         top = 1.0 + rate * RECOVER_MS
         room, at = self.share_room.get(tenant, (top, now))
         room = min(top, room + (now - at) * rate)
-        within = room >= 1.0
-        self.share_room[tenant] = (room - within, now)
-        return int(not within)
+        self.share_room[tenant] = (room - (room >= 1.0), now)
+        return int(room < 1.0)
 
     # -- route: first choice, else a weighted draw ----------------------------------------------
 
@@ -325,9 +335,8 @@
     # -- guards: the five rules -----------------------------------------------------------------
 
     def _may_send(self, now: float, call: Call, core: Core) -> bool:
-        entry, kind = core.entry, call.kind
-        spills = entry.cell != call.destination
-        if entry.server in call.tried or self._avoids(now, core):
+        entry, kind, spills = core.entry, call.kind, core.entry.cell != call.destination
+        if entry.server in call.tried or self.avoids(now, core):
             return False
         if self.set.network:
             barred = entry.cell == self.set.self_number or (call.in_transit and spills) or core.circuits == 0
@@ -342,14 +351,11 @@
                 return False
         return self._room(now, core, spills)
 
-    def _avoids(self, now: float, core: Core) -> bool:
+    def avoids(self, now: float, core: Core) -> bool:
+        """Does it get no call now, whichever it is?"""
         ready = core.entry.availability == api.Availability.READY  # rule 3
         return not ready or core.silent(now, self.awake, self.limits[0])
 
-    def avoided(self, now: float) -> int:
-        """How many listed servers get no call now, whichever it is."""
-        return sum(self._avoids(now, core) for core in self.cores.values())
-
     def _hear(self, now: float, core: Core) -> None:
         """Heard again after a long silence it counts as cold; harms when it was only out of reach."""
         if self.awake - core.heard > RECOVER_MS and core.silent(now, self.awake, self.limits[0]):
@@ -374,15 +380,14 @@
     def _place(self, now: float, call: Call) -> None:
         """Send the call to a server whose gate passes, or give it up at once."""
         left = call.over_by - now
-        core = self._route(now, call) if left > 0 and call.attempts < self.set.limits.attempts_cap else None
+        core = self._route(now, call) if left > 0 and call.attempts < call.cap else None
         if core is None:
             return self._give_up(now, call)
         if call.rank in core.opens:
             gap = 1.0 / self.floors(now, core)[call.rank]
             core.opens[call.rank] = now + gap - (now - core.opens[call.rank]) % gap
         core.tokens -= 1.0
-        call.attempts += 1
-        call.core, call.overtaken = core, 0
+        call.core, call.attempts, call.overtaken = core, call.attempts + 1, 0
         due = now + min(self.limits[self.limit_of[call.rank]], left)
         core.pending[call.ident] = (due, self.awake, len(core.pending) + 1)
         core.sent = self.awake
@@ -423,8 +428,7 @@
 
     def _forget(self, ident: int) -> None:
         """A call is over, or an attempt is: it no longer counts in N."""
-        call = self.calls.pop(ident, None)
-        if call and call.core:
+        if (call := self.calls.pop(ident, None)) and call.core:
             call.core.pending.pop(ident, None)
 
     # -- events ---------------------------------------------------------------------------------
@@ -438,7 +442,7 @@
         late = int(kind.late_worth < 1.0 and now - since >= kind.on_time)
         rank = self.ranks[event.call_class, over, late]
         call = Call(event.call, kind, rank, now + event.grace, event.destination, event.in_transit,
-                    event.slots or kind.width, caller, since, over)
+                    event.slots or kind.width, caller, since, over, self.set.limits.attempts_cap)
         self.calls[event.call] = call
         if now < self.busy.get(event.key, 0.0):
             self._give_up(now, call)
@@ -495,24 +499,22 @@
                 if event.status == Status.FULL:
                     # All nodes rush to the few lines told free; one turned away knows better till next told.
                     core.idle, core.told = 0.0, now
-        call = self.calls.get(event.call)
-        if call is None or event.final:
+        if (call := self.calls.get(event.call)) is None or event.final:
             return self._forget(event.call)
-        entry = call.core.entry if call.core else None
-        call.core = None
+        entry, call.core = call.core and call.core.entry, None
         if entry and event.status not in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT) and not call.ran:
             call.ran = (entry, now - event.delay)
         fault = event.status == Status.ERROR and event.note != LINES_BUSY
         if core and fault and event.server != call.faulted:  # once a call: it may fail wherever it goes
             call.faulted = event.server
             core.answered(True)
-        last = call.attempts >= self.set.limits.attempts_cap - 1
+        last = call.attempts >= call.cap - 1
         if core is None or not fault or core.faults < FAULTY or last:
             # A server that fails many calls may yet take this one, and the last try is another's; else a
             # fault may be the call's own doing, and repeats would only cost work.
             call.tried.append(event.server)
         barred = event.status in (Status.TIMEOUT, Status.RESET, Status.CANCELLED)  # rule 5
-        wait = self.set.contract.clear_wait if barred else 0.0
+        wait = self.set.contract.clear_wait * barred
         call.not_before = now + wait
         if event.note == LINES_BUSY:
             self._busy(now, call.caller[0])
@@ -525,8 +527,7 @@
             self._place(now, call)
 
     def _report(self, now: float, server: int, report: Sequence[float]) -> None:
-        core = self.cores.get(server)
-        if core is None:
+        if (core := self.cores.get(server)) is None:
             return
         seen = dict(zip(self.set.fields, report, strict=False))
         if "idle" in seen:
@@ -542,8 +543,7 @@
             return
         if event.scope != api.Scope.DELTA:
             named = {entry.server for entry in event.entries}
-            for server in [known for known in self.cores if known not in named]:
-                del self.cores[server]
+            self.cores = {server: core for server, core in self.cores.items() if server in named}
         for entry in event.entries:
             core = self.cores.get(entry.server)
             if entry.availability == api.Availability.GONE:
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -31,7 +31,8 @@
     from seamlb.plugins.loading import PluginsTable
     from seamlb.plugins.service import PluginService
 
-TAKEN_OVER = ("board", "known", "plan", "plugins")  # by SIGHUP
+SETTINGS = ("settings", "tenants", "max_open", "connect_timeout")
+TAKEN_OVER = ("board", "known", "plan", "plugins", "raw", *SETTINGS)  # by SIGHUP
 BEAT_EVERY = 0.1  # seconds between two portions of what plug-ins learn beside the calls
 STEER_EVERY = 0.25  # seconds between two looks at the plan's shares
 TEND_EVERY = 0.05  # seconds between two looks at what the lifecycle wants of listeners and connections
@@ -91,13 +92,13 @@
         self.control: ControlSocket | None = None
         self.guide: Guide | None = None
         self.front = PlatformFront(
-            self.agent, self.lifecycle, config.listen, int(config.sockets * CLIENT_SHARE), config.tenants
+            self.agent, self.lifecycle, config.listen, int(config.sockets * CLIENT_SHARE)
         )
         self.management = ManagementFront(config.management, self.lifecycle, self.figures)
         self.sip: SipFront | None = None
         if plugins.sip:
             classify = self.hook.classify if self.hook else None
-            self.sip = SipFront(self.agent, self.lifecycle, plugins.sip, config.tenants, classify)
+            self.sip = SipFront(self.agent, self.lifecycle, plugins.sip, classify)
         self.desks: PlatformDesks | SipDesks
         if plugins.desks:
             self.desks = SipDesks(SipEndpoint("desk"), plugins.desks.transport.upper(), settings.fields)
@@ -249,13 +250,15 @@
     def reload(self) -> None:
         """SIGHUP: take the files as they are now; what can't be used changes nothing and leaves one line.
 
-        Only `board`, a plan and plug-ins are taken over while serving, each at once and whole. Whatever else is new
-        waits for a restart and is named.
+        `board`, settings, a plan and plug-ins are taken over while serving, each at once and whole. Whatever else is
+        new waits for a restart and is named.
         """
         if self.reread is None:
             return
         try:
             config, plugins = self.reread()
+            if lost := self.config.lacks(config):
+                raise ConfigError(f"{config.source}: {lost}: missing, and the configuration in force has it")
             waits: list[str] = []
             self._reload_local(plugins.plugins, waits)
         except ConfigError as error:
@@ -268,6 +271,7 @@
             if one.name not in TAKEN_OVER and getattr(new, one.name) != getattr(old, one.name)
         ]
         self.board.move(config.board)
+        waits += self._retune(config)
         if self.guide is None and plugins.plan:
             self._follow_plan(plugins.plan)
         elif self.guide:
@@ -276,6 +280,22 @@
         self.plugins = plugins if waits == [] else replace(self.plugins, plan=plugins.plan)
         log.event("reloaded", board=config.board, waits_for_restart=waits)
 
+    def _retune(self, config: Config) -> list[str]:
+        """Take new settings; names what of them waits for a restart."""
+        old, self.config = self.config, replace(self.config, raw=config.raw)
+        if all(getattr(config, name) == getattr(old, name) for name in SETTINGS):
+            return []
+        if self.guide or self.local:  # both were made for the classes and offices of the start
+            return ["settings"]
+        self.agent.retune(config.settings.after(self.agent.settings))
+        self.agent.max_open = config.max_open
+        if isinstance(self.desks, PlatformDesks):
+            self.desks.connect_timeout = config.connect_timeout
+        self.lifecycle.longest = max(kind.deadline for kind in self.agent.settings.classes) / 1000.0
+        self.config = replace(self.config, **{name: getattr(config, name) for name in SETTINGS})
+        log.event("settings", classes=sorted(config.settings.kinds), attempts=config.settings.limits.attempts_cap)
+        return [f"settings.{name}" for name in config.settings.waits(old.settings)]
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain: keep taking, answer all that was taken, go."""
         loop = asyncio.get_running_loop()
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -6,7 +6,6 @@
 import math
 import re
 from collections import deque
-from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from seamlb import log
@@ -73,9 +72,7 @@
 class PlatformFront:
     """Listens where the platform says."""
 
-    def __init__(
-        self, agent: Agent, lifecycle: Lifecycle, address: str, limit: int, tenants: Sequence[str]
-    ) -> None:
+    def __init__(self, agent: Agent, lifecycle: Lifecycle, address: str, limit: int) -> None:
         self.agent = agent
         self.lifecycle = lifecycle
         self.address = address
@@ -84,8 +81,6 @@
         self.calls: dict[str, Call] = {}
         self.spoilt: dict[str, None] = {}
         self.releases: deque[tuple[float, bytes]] = deque(maxlen=PENDING_RELEASES)  # when, for the next connection
-        self.classes = {kind.name: place for place, kind in enumerate(agent.settings.classes)}
-        self.tenants = {name: place for place, name in enumerate(tenants)}
         self.lag: Lag | None = None
 
     def start(self, descriptor: int | None = None) -> None:
@@ -234,13 +229,14 @@
             del self.spoilt[next(iter(self.spoilt))]
 
     def _read(self, message: Message, ident: str) -> Request:
+        settings = self.agent.settings
         name = message.get("x-cos")
-        if name not in self.classes:
+        if name not in settings.kinds:
             raise BadCall("unknown class")
         if not IDENT.fullmatch(ident):
             raise BadCall("Call-ID is not 16 hex digits")
         tenant = message.get("x-operator")
-        if tenant and self.tenants and tenant not in self.tenants:
+        if tenant and settings.tenants and tenant not in settings.tenants:
             raise BadCall("unknown tenant")
         scheme, _, rest = message.uri.partition(":")
         number = rest.partition("@")[0]
@@ -248,10 +244,10 @@
             raise BadCall("not a SIP address")
         if len(message.body) > MOST_BODY:
             raise BadCall("the description is too long")
-        kind = self.agent.settings.classes[self.classes[name]]
+        kind = settings.classes[settings.kinds[name]]
         told = figures(message.get("x-legs"), kind)
         return Request(
-            ident=ident, call_class=self.classes[name], class_name=name, tenant=self.tenants.get(tenant, 0),
+            ident=ident, call_class=settings.kinds[name], class_name=name, tenant=settings.tenants.get(tenant, 0),
             tenant_name=tenant, number=number, patience_ms=patience(message.get("x-timer-ms"), kind, "X-Timer-Ms"),
             destination=told.destination, slots=told.slots, via=told.via, cut_before=told.cut_before,
             description=message.body,
--- a/seamlb/fronts/sip.py
+++ b/seamlb/fronts/sip.py
@@ -6,7 +6,7 @@
 import contextlib
 import math
 import secrets
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -156,8 +156,7 @@
     """Takes SIP calls for the core."""
 
     def __init__(
-        self, agent: Agent, lifecycle: Lifecycle, config: SipFrontConfig, tenants: Sequence[str],
-        classify: Classify | None = None,
+        self, agent: Agent, lifecycle: Lifecycle, config: SipFrontConfig, classify: Classify | None = None
     ) -> None:
         self.agent = agent
         self.lifecycle = lifecycle
@@ -166,8 +165,6 @@
         self.endpoint = SipEndpoint("sip", config.connections)
         self.endpoint.on_request = self._request
         self.endpoint.on_ack = self._ack
-        self.classes = {kind.name: place for place, kind in enumerate(agent.settings.classes)}
-        self.tenants = {name: place for place, name in enumerate(tenants)}
         self.pending: dict[tuple[str, ...], Call] = {}
         self.dialogs: dict[tuple[str, str, str], Call] = {}
         self.lag: Lag | None = None
@@ -284,25 +281,25 @@
         call.life = self.agent.take(request, call)
 
     def _read(self, message: Message, ident: str, transport: str) -> Request:
-        config = self.config
+        config, settings = self.config, self.agent.settings
         name = message.get(config.class_header.lower()) or config.default_class
         tenant = message.get(config.tenant_header.lower()) or config.default_tenant
         number = message.uri.partition(":")[2].partition("@")[0]
         if self.classify is not None:
             facts = {"class": name, "tenant": tenant, "number": number, "transport": transport,
                      "headers": {key.lower(): value for key, value in message.headers}}
-            name, tenant = self.classify(facts, self.classes, self.tenants)
-        if name not in self.classes:
+            name, tenant = self.classify(facts, settings.kinds, settings.tenants)
+        if name not in settings.kinds:
             raise BadCall("unknown class")
-        if tenant and tenant not in self.tenants:
+        if tenant and tenant not in settings.tenants:
             raise BadCall("unknown tenant")
-        kind = self.agent.settings.classes[self.classes[name]]
+        kind = settings.classes[settings.kinds[name]]
         timer = message.get(config.deadline_header.lower())
         waits = patience(timer, kind, config.deadline_header) if timer else config.default_deadline_ms
         usual = config.destinations.get(name, min(kind.pools) if kind.pools else 0)
         told = figures(message.get(config.figures_header.lower()), kind, usual)
         return Request(
-            ident=ident, call_class=self.classes[name], class_name=name, tenant=self.tenants.get(tenant, 0),
+            ident=ident, call_class=settings.kinds[name], class_name=name, tenant=settings.tenants.get(tenant, 0),
             tenant_name=tenant, number=number,
             patience_ms=waits or kind.deadline, destination=told.destination, slots=told.slots,
             via=told.via, cut_before=told.cut_before, description=message.body,
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -100,7 +100,7 @@
         self.taken = 0
         self.unanswered = 0
         self.counters = Counters()
-        self.counters.know(tuple(kind.name for kind in settings.classes))
+        self.counters.know(tuple(settings.kinds))
         # Desk ids and the module's numbers, kept while the desk is listed or has an attempt or a call that
         # stands: desks are replaced all day. A number is never given twice.
         self.numbers: dict[str, int] = {}
@@ -141,6 +141,12 @@
         except Exception as error:
             log.event("fault", where="module", news=type(event).__name__, error=repr(error), trace=log.trace(error))
 
+    def retune(self, settings: api.Settings) -> None:
+        """Serve by these settings from now on, which follow those in force; what is open keeps its class."""
+        self.settings = settings
+        self.counters.know(tuple(settings.kinds))
+        self.tell(api.Retuned(self.advisor.extend(settings) if self.advisor else settings))
+
     # -- the list of desks --------------------------------------------------------------------
 
     def list_changed(self, scope: api.Scope, desks: Sequence[Desk]) -> None:
@@ -381,9 +387,10 @@
 
     def figures(self) -> dict[str, Any]:
         """What staff see; which desks are avoided is the module's word."""
+        now = self.clock()
         return self.counters.table() | {
             "open_requests": len(self.lives), "registry_entries": len(self.listed),
-            "out_of_rotation": self.module.avoided(self.clock()),
+            "out_of_rotation": sum(self.module.avoids(now, core) for core in self.module.cores.values()),
         }
 
     def _ended(self, life: Life, outcome: Outcome, final: bool) -> None:
--- a/tests/test_plugin_daemon.py
+++ b/tests/test_plugin_daemon.py
@@ -97,7 +97,7 @@
         self.assertEqual({module._over_share(daemon.agent.clock(), 2) for _ in range(1000)}, {0})
         self.assertEqual([module._over_share(daemon.agent.clock(), 3) for _ in range(5)], [0, 1, 1, 1, 1])
         self.assertEqual(module.set.allowances[:2], daemon.config.settings.allowances)
-        self.assertEqual(set(daemon.front.tenants), {"x", "y"})
+        self.assertEqual(set(daemon.agent.settings.tenants), {"x", "y"})
 
     async def test_one_final_answer_whatever_a_plugin_does(self) -> None:
         for name in ("fuel", "trap", "nan"):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -25,7 +25,7 @@
     now: float = 1000.0
     next_call: int = 1
     open: dict[int, float] = field(default_factory=dict)  # call: its deadline
-    kinds: dict[int, int] = field(default_factory=dict)
+    kinds: dict[int, tuple[api.CallClass, int]] = field(default_factory=dict)  # its class and attempts, as it came
     closed: set[int] = field(default_factory=set)
     out: dict[int, tuple[int, int, float]] = field(default_factory=dict)  # call: server, leg, timed out at
     legs: dict[int, int] = field(default_factory=dict)
@@ -46,16 +46,15 @@
                 assert call not in self.out, "rule 2: two attempts out"
                 assert self.states.get(server) == Availability.READY, "rule 3: not ready"
                 assert self.now >= self.barred.get(call, -math.inf), "rule 5: before the release"
-                effect = self.made.classes[self.kinds[call]].effect
-                if call in self.ran and effect != "free":
+                kind, cap = self.kinds[call]
+                if call in self.ran and kind.effect != "free":
                     first, sent = self.ran[call]
-                    kind = self.made.classes[self.kinds[call]]
-                    assert effect == "guarded", "rule 2: single shot sent again"
+                    assert kind.effect == "guarded", "rule 2: single shot sent again"
                     assert self.now < sent + kind.window, "rule 2: beyond the window"
                     if kind.group == "cell":
                         assert first == server, "rule 2: another group"
                 leg = self.legs.get(call, -1) + 1
-                assert leg < self.made.limits.attempts_cap
+                assert leg < cap
                 self.legs[call] = leg
                 until = min(self.open[call], self.now + within if within > 0 else math.inf)
                 self.out[call] = (server, leg, until)
@@ -64,7 +63,7 @@
                 assert call not in self.out, "an attempt was still out"
                 assert self.now <= self.open[call] + self.made.contract.answer_slack
                 if isinstance(action, api.Deny) and call in self.ran:
-                    kind = self.made.classes[self.kinds[call]]
+                    kind, _ = self.kinds[call]
                     assert kind.effect == "free" or (kind.effect == "guarded" and kind.group == "all")
                 self.end(call)
             case api.WakeAt(token, at):
@@ -135,6 +134,7 @@
         st.tuples(st.just("advance"), st.floats(0.0, 700.0)),
         st.tuples(st.just("stale"), st.integers(0, 60)),
         st.tuples(st.just("kill")),
+        st.tuples(st.just("tune"), st.integers(0, 3)),
     ),
     max_size=60,
 )
@@ -144,6 +144,12 @@
      "Window": 900.0},
     {"Deadline": 9000.0, "Effect": "single_shot", "Name": "c", "OnTime": 1000.0, "Worth": 2.0},
 ]
+VERSIONS = [  # of the settings: classes dropped, changed, added and back under their names; other attempts
+    (CLASSES, 3),
+    ([CLASSES[2] | {"Effect": "free"}, CLASSES[0]], 1),
+    ([CLASSES[0] | {"Effect": "single_shot", "LateWorth": 0.5}, CLASSES[1], {**CLASSES[2], "Name": "d"}], 5),
+    ([CLASSES[1] | {"Worth": 9.0, "OnTime": 300.0}], 2),
+]
 
 
 def pick(choices: Any, place: int) -> int | None:
@@ -154,7 +160,8 @@
 @settings(max_examples=250, derandomize=True, deadline=None)
 @given(STEPS)
 def test_rules_1_2_3_and_5_hold(steps: list[tuple[Any, ...]]) -> None:
-    made = make_settings(Classes=CLASSES, Limits={"Cancel": False, "AttemptsCap": 3})
+    versions = [make_settings(Classes=kinds, Limits={"Cancel": False, "AttemptsCap": cap}) for kinds, cap in VERSIONS]
+    made = versions[0]
     world = World(Controller(made, 1), made)
     world.relist(Scope.CACHED, {1: (1, 0.0), 2: (1, 0.0), 3: (1, 0.0)})
     for step in steps:
@@ -163,7 +170,9 @@
                 call = world.next_call
                 world.next_call += 1
                 world.open[call] = world.now + grace
-                world.kinds[call] = kind
+                numbers = sorted(world.made.kinds.values())
+                kind = numbers[kind % len(numbers)]
+                world.kinds[call] = world.made.classes[kind], world.made.limits.attempts_cap
                 world.give(demand(call, kind, dest, grace))
             case ("finish", place, status):
                 if (call := pick(world.out, place)) is not None:
@@ -185,8 +194,11 @@
                 world.give(api.HungUp(10_000 + ident))
                 world.give(api.Alarm(10_000 + ident))
                 world.give(ended(10_000 + ident, 1, Status.TIMEOUT))
+            case ("tune", version):
+                world.made = versions[version].after(world.made)
+                world.give(api.Retuned(world.made))
             case ("kill",):
-                world.controller = Controller(made, 2)
+                world.controller = Controller(world.made, 2)
                 world.open, world.out, world.timers, world.ran, world.barred = {}, {}, [], {}, {}
                 states = {server: (state, 0.0) for server, state in world.states.items()}
                 world.relist(Scope.CACHED, states)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,135 @@
+"""New settings while serving: numbers that never shift, and what the module and the daemon make of a version."""
+
+import json
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from seamlb import api, config
+from seamlb.api import Status
+from seamlb.control import Controller
+from seamlb.daemon import Daemon
+from tests.loopback import ScriptedDesk, Story, invite, silent
+from tests.support import RAW, demand, ended, listed, sent_to, settings
+
+A, B = RAW["Classes"]
+C = A | {"Name": "c", "Worth": 2.0}
+
+
+def version(*classes: dict[str, Any], **change: Any) -> api.Settings:
+    return settings(Classes=list(classes), **change)
+
+
+def test_numbers_never_shift_and_none_comes_back() -> None:
+    first = version(A, B)
+    second = version(C, B | {"Worth": 7.0}).after(first)
+    assert second.kinds == {"c": 2, "b": 1} and [one.name for one in second.classes] == ["a", "b", "c"]
+    assert second.classes[1].worth == 7.0 and second.classes[0] == first.classes[0]
+    third = version(A, B, C).after(second)
+    assert third.kinds == {"a": 3, "b": 1, "c": 2}, "what was dropped is another class when it comes again"
+    offices = [{"Name": "x", "AllowancePerS": 1.0}, {"Name": "y", "AllowancePerS": 2.0}]
+    fourth = settings(Tenants=offices).after(third)
+    fifth = settings(Tenants=[offices[1] | {"AllowancePerS": 5.0}, {"Name": "z", "AllowancePerS": 3.0}]).after(fourth)
+    assert fifth.tenants == {"y": 1, "z": 2} and fifth.allowances == (1.0, 5.0, 3.0)
+
+
+def test_what_is_for_a_start_only_stays() -> None:
+    old, new = version(A, B), version(A, B, Instances=9, Az=2)
+    assert new.waits(old) == ["instances", "zone"]
+    assert (new.after(old).instances, new.after(old).zone) == (old.instances, old.zone)
+
+
+def test_open_calls_keep_their_class_and_attempts_and_new_ones_have_the_new() -> None:
+    limits = {"Cancel": False, "AttemptsCap": 3}
+    old = version(A, B, Limits=limits)
+    controller = Controller(old, 1)
+    listed(controller, 0.0, 1, 2, 3)
+    controller.cores[2].tokens = controller.cores[3].tokens = 2.0
+    assert sent_to(controller.handle(0.0, demand(1))) == [1]
+    new = version(A | {"Effect": "single_shot"}, C, Limits=limits | {"AttemptsCap": 1}).after(old)
+    assert controller.handle(1.0, api.Retuned(new)) == []
+    assert sent_to(controller.handle(2.0, demand(2))) == [1]
+    # The first may be repeated, as it came; the second was sent once and may have run: it may not, nor be refused.
+    (again,) = sent_to(controller.handle(3.0, ended(1, 1, Status.ERROR)))
+    assert again in (2, 3)
+    assert controller.handle(3.0, ended(2, 1, Status.ERROR)) == [api.ReportFailure(2)]
+
+
+def test_ranks_are_the_live_classes_and_a_dropped_ones_calls_go_by_the_next() -> None:
+    old = version(A, B)
+    controller = Controller(old, 1)
+    listed(controller, 0.0, 1)
+    controller.handle(0.0, demand(1, kind=0))
+    controller.handle(0.0, demand(2, kind=1))
+    new = version(A, C).after(old)
+    controller.handle(1.0, api.Retuned(new))
+    assert controller.ranks == {(1, 0, 0): 0, (2, 0, 0): 0, (0, 0, 0): 1} and len(controller.floor_ratio) == 2
+    assert (controller.calls[1].rank, controller.calls[2].rank) == (1, 0)
+    assert list(controller.cores[1].pending) == [1, 2], "what is known of a server stays"
+    controller.handle(2.0, demand(3, kind=1))  # it was read before the change
+    assert 3 in controller.calls
+
+
+class Reloads(Story):
+    async def serve(self, **change: Any) -> tuple[Daemon, ScriptedDesk]:
+        self.path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
+        self.good: dict[str, Any] = {"listen": "127.0.0.1:0", "limits": {"sockets": 100}, "settings": RAW}
+        self.write(self.good)
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        daemon.config = config.load(str(self.path))
+        daemon.reread = lambda: (config.load(str(self.path)), config.Plugins())
+        return daemon, desk
+
+    def write(self, told: Any) -> None:
+        self.path.write_text(told if isinstance(told, str) else json.dumps(told))
+
+    async def test_a_class_comes_and_another_goes(self) -> None:
+        daemon, desk = await self.serve()
+        caller = await self.caller()
+        caller.send(invite("00000000000000a0", kind="c"))
+        await caller.until(400)
+        desk.script = silent
+        caller.send(invite(kind="a"))
+        waits = await desk.until("INVITE")
+        self.write(self.good | {"settings": RAW | {"Classes": [B, C]}})
+        daemon.reload()
+        caller.send(invite("00000000000000a2", kind="a"))
+        await caller.until(400)
+        desk.script = ScriptedDesk().script
+        caller.send(invite("00000000000000a3", kind="c"))
+        self.assertEqual((await caller.until(200)).get("call-id"), "00000000000000a3")
+        await ScriptedDesk().script(desk.peers[0], waits)  # the one that was open is answered as ever
+        self.assertEqual((await caller.until(200)).get("call-id"), "00000000000000a1")
+        self.assertEqual(self.events("reloaded")[-1]["waits_for_restart"], [])
+        self.assertEqual(daemon.figures()["fulfilled"], {"a": 1, "b": 0, "c": 1})
+        self.assertEqual((daemon.cfg_accepted, daemon.cfg_invalid), (1, 0))
+
+    async def test_a_broken_file_changes_nothing_and_is_one_line(self) -> None:
+        daemon, _ = await self.serve()
+        before = daemon.agent.settings
+        whole = json.dumps(self.good)
+        lacking = {key: value for key, value in RAW.items() if key != "Report"}
+        for told, says in (
+            ("", "not JSON"), (whole[: len(whole) // 2], "not JSON"), ({}, "'settings' missing"),
+            (self.good | {"settings": lacking}, "settings.Report: missing, and the configuration in force has it"),
+            (self.good | {"settings": RAW | {"Classes": [A, {k: v for k, v in C.items() if k != "Effect"}]}},
+             "settings.Classes[1].Effect: missing"),
+            (self.good | {"settings": RAW | {"Classes": [A | {"Deadline": 0}, B]}}, "Classes[0].Deadline: impo"),
+            (self.good | {"settings": RAW | {"Classes": [A, A]}}, "'a' is there twice"),
+            (self.good | {"settings": RAW | {"Limits": RAW["Limits"] | {"AttemptsCap": 0}}}, "AttemptsCap: impo"),
+            ({key: value for key, value in self.good.items() if key != "limits"}, "limits: missing"),
+        ):
+            with self.subTest(says=says):
+                self.logged.clear()
+                self.write(told)
+                daemon.reload()
+                (line,) = self.events("reload_failed")
+                self.assertIn(says, line["error"])
+                self.assertTrue(line["error"].startswith(str(self.path)))
+                self.assertIs(daemon.agent.settings, before)
+        self.assertEqual((daemon.cfg_accepted, daemon.cfg_invalid), (0, 9))
+        self.write(self.good | {"settings": RAW | {"Instances": 9, "Limits": RAW["Limits"] | {"AttemptsCap": 2}}})
+        daemon.reload()
+        self.assertEqual(self.events("reloaded")[-1]["waits_for_restart"], ["settings.instances"])
+        self.assertEqual(daemon.agent.module.set.limits.attempts_cap, 2)
