Keep releases whose message was cut, and set up no call again that is over

Ruled out: releases lost on the callers' side (each `released` was written at once), the lifecycle (untouched there). Design: a desk's description in which a message begins is torn; a connection with calls standing ends our side first and is looked through for releases, also cut-off ones. A call released before its answer is OK and over: the module gives it up in the branch it had. Each has a test that fails without its change. Open: a release on a connection that fell silent in the middle of another message is lost with it.

--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -519,7 +519,7 @@
         if event.note == LINES_BUSY:
             self._busy(now, call.caller[0])
             self._give_up(now, call)
-        elif call.over_by - call.not_before <= self.set.contract.answer_slack:
+        elif event.status == Status.OK or call.over_by - call.not_before <= self.set.contract.answer_slack:
             self._give_up(now, call)
         elif wait:
             self.out.append(api.WakeAt(call.ident, call.not_before))
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -12,7 +12,7 @@
 from seamlb.net.connection import ConnectFailed, Connection, connect
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.report import NOTES, parse_report
-from seamlb.protocol.sip import Framer, Message, SipError, parameter, response
+from seamlb.protocol.sip import Framer, Message, SipError, parameter, releases, response
 from seamlb.routing.model import Answer, Attempt, Availability, Desk, Heard, Outcome, Status
 
 MAX_CONNECTIONS = 4  # a desk tells the state of its group on four at most
@@ -23,6 +23,8 @@
 SUSPECT = 0.25  # seconds without a byte, with a set-up out, before a second connection tests the first
 UNREACHABLE = 6.0  # seconds without a way to a desk before its standing calls count as cut
 DEAF = 0.1  # seconds for news of the state to come on the other connections too, as a desk tells it on each
+SALVAGE = 0.25  # seconds for releases that were on their way when a connection of no use was given up
+SALVAGE_BYTES = 64 * 1024
 PART_WITHIN = 0.25  # seconds for the rest of a message: an answer that stops short makes its connection useless
 BROKEN = (CloseReason.PEER_RESET, CloseReason.PEER_CLOSED)  # a new connection's bad luck, once: no sign of the desk
 REMEMBER = 30.0  # seconds for which a leg that is over is known
@@ -266,8 +268,31 @@
             self._cut_standing(link)
 
     async def _serve(self, link: Link, connection: Connection) -> None:
-        framer = Framer()
-        connection.message_within = PART_WITHIN
+        framer = Framer(whole=True)
+        rest = bytearray()
+        connection.message_within, connection.linger = PART_WITHIN, SALVAGE
+
+        def salvage(data: bytes) -> None:
+            """Releases of calls that stand, in bytes that can't be framed: the desk sends them once only."""
+            rest.extend(data)
+            for message in releases(bytes(rest)):
+                key = (link.desk.ident, message.get("call-id"))
+                if (leg := self.legs.get(key)) and leg.stands:
+                    if not message.get("reason"):  # cut off before it
+                        message.headers.append(("Reason", f"Q.850;cause={NORMAL}"))
+                    self._released(key, leg, message)
+            if len(rest) > SALVAGE_BYTES:
+                connection.close(connection.ending or CloseReason.MALFORMED)
+
+        def leave(reason: CloseReason, left: bytes) -> None:
+            """The connection is of no use any more; what stands there may yet be released on it."""
+            if any(leg.stands and key[0] == link.desk.ident for key, leg in self.legs.items()):
+                connection.residue = salvage
+                connection.refuse(reason)
+                self._lost(link, connection)
+                salvage(left)
+            else:
+                connection.close(reason)
 
         def good(message: Message) -> None:
             if not connection.closed:
@@ -276,7 +301,9 @@
         def malformed(error: SipError) -> None:
             # After one answer that can't be read none can be trusted: the set-ups on it end now, not by time-out.
             log.event("malformed", kind="desk", peer=connection.peer, error=str(error))
-            connection.close(CloseReason.MALFORMED)
+            leave(CloseReason.MALFORMED, framer.left)
+
+        connection.late = lambda: leave(CloseReason.SLOW, bytes(framer.data))
 
         def received(data: bytes) -> None:
             whole = framer.take(data, good, malformed)
@@ -285,14 +312,17 @@
         try:
             await connection.run(received)
         finally:
-            if connection in link.open:
-                link.open.remove(connection)
-            if not self.closing:
-                for leg in self._legs_on(connection):
-                    if not leg.stands:  # the connection was lost before the answer
-                        self._over(self._key(leg.attempt))
-                        leg.heard(leg.attempt.leg, Outcome(Status.RESET))
-                link.wanted.set()
+            self._lost(link, connection)
+
+    def _lost(self, link: Link, connection: Connection) -> None:
+        """Set-ups that had no answer on a connection end with it."""
+        if connection in link.open:
+            link.open.remove(connection)
+        if not self.closing:
+            for leg in self._legs_on(connection):
+                self._over(self._key(leg.attempt))
+                leg.heard(leg.attempt.leg, Outcome(Status.RESET))
+            link.wanted.set()
 
     def _drop(self, link: Link) -> None:
         """The desk is gone from the list, or another machine has its name: all it had is cut."""
@@ -419,7 +449,8 @@
         cause = int(told) if told.isdigit() else CUT
         if leg is not None:
             self._over(key)
-            status = Status.OK if cause == NORMAL and leg.stands else Status.RESET
+            # Before its answer too: the call stood there and has come to its end, only its answer is late or lost.
+            status = Status.OK if cause == NORMAL else Status.RESET
             report = parse_report(message.get("x-occupancy"), self.fields)
             leg.heard(leg.attempt.leg, Outcome(status, 0, report, cause))
         elif key not in self.over:
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -58,6 +58,9 @@
         self.credit = 0  # 1: a whole message has come on it; 2: its user found it good
         self.ending: CloseReason | None = None  # refused: only what still comes is read
         self.in_use: Callable[[], bool] = lambda: False  # would a close now break something off?
+        self.late: Callable[[], object] = lambda: self.close(CloseReason.SLOW)  # a message was not whole in time
+        self.residue: Callable[[bytes], object] = lambda data: None  # what still comes after `refuse`
+        self.linger = LINGER
         self._discarded = 0
         self._late: asyncio.TimerHandle | None = None
         self._stuck: asyncio.TimerHandle | None = None
@@ -98,7 +101,7 @@
         """A whole message must come in time from now, or the connection is closed."""
         if self._late is None and not self.closed:
             self._late = asyncio.get_running_loop().call_later(
-                self.message_within, self.close, CloseReason.SLOW
+                self.message_within, lambda: self.late()
             )
 
     def took(self, messages: int, partial: bool) -> None:
@@ -116,6 +119,7 @@
             while True:
                 data = await self.stream.read_bytes(TURN, partial=True)
                 if self.ending:
+                    self.residue(data)
                     await self._discard(len(data))
                 else:
                     self.last_read = loop.time()
@@ -200,7 +204,7 @@
         except OSError:
             self.close(self.ending)
         else:
-            self._late = asyncio.get_running_loop().call_later(LINGER, self.close, self.ending)
+            self._late = asyncio.get_running_loop().call_later(self.linger, self.close, self.ending)
 
     async def _discard(self, size: int) -> None:
         self._discarded += size
--- a/seamlb/protocol/sip.py
+++ b/seamlb/protocol/sip.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 MAX_MESSAGE = 16 * 1024
+STARTS = (b"SIP/2.0 ", b"BYE sip:", b"NOTIFY sip:", b"OPTIONS sip:")  # what a desk's messages begin with
+METHODS = (  # RFC 3261 and its extensions
+    b"ACK", b"BYE", b"CANCEL", b"INFO", b"INVITE", b"MESSAGE", b"NOTIFY", b"OPTIONS", b"PRACK", b"PUBLISH", b"REFER",
+    b"REGISTER", b"SUBSCRIBE", b"UPDATE")
+START_SEEN = 3  # bytes of a start at a body's end that can't be chance
+RELEASE = re.compile(rb"BYE sips?:\S+ SIP/2\.0\r\n((?:[A-Za-z-]+:[^\r\n]*\r\n)+)")
 COMPACT = {
     "v": "via", "f": "from", "t": "to", "i": "call-id", "m": "contact", "l": "content-length",
     "c": "content-type", "k": "supported", "e": "content-encoding", "s": "subject",
@@ -154,12 +161,48 @@
     return int(text)
 
 
+def begins(data: bytes) -> bool:
+    """May a message begin so, as far as it has come?"""
+    word, space, _ = data.partition(b" ")
+    if space:
+        return word in METHODS or word.startswith(b"SIP/")
+    return data.startswith((b"\r", b"SIP/")) or any(one.startswith(data) for one in (*METHODS, b"SIP/"))
+
+
+def torn(body: bytes, rest: bytes) -> bool:
+    """Has a body that stopped short been filled up with what came after it?
+
+    Guards callers against a description that no desk gave: the length fits, but another message begins inside, or
+    what is left begins in the middle of one.
+    """
+    inside = any(start in body for start in STARTS)
+    at_end = any(body.endswith(start[:size]) for start in STARTS for size in range(START_SEEN, len(start)))
+    return inside or at_end or not begins(rest)
+
+
+def releases(data: bytes) -> list[Message]:
+    """The releases in bytes whose framing is lost, also cut off behind their call's name: each names it itself."""
+    found = []
+    for one in RELEASE.finditer(data):
+        lines = (line.partition(":") for line in one[1].decode("ascii", "replace").split("\r\n")[:-1])
+        headers = [(COMPACT.get(name.lower(), name), value.strip()) for name, _, value in lines]
+        message = Message("BYE", headers=headers)
+        if message.get("call-id"):
+            found.append(message)
+    return found
+
+
 class Framer:
-    """Cuts a stream into messages; SipError with `lost` set ends it."""
+    """Cuts a stream into messages; SipError with `lost` set ends it, and what it could not read stays in `left`.
+
+    `whole` has bodies looked at for messages that were swallowed by one that stopped short.
+    """
 
-    def __init__(self, limit: int = MAX_MESSAGE) -> None:
+    def __init__(self, limit: int = MAX_MESSAGE, whole: bool = False) -> None:
         self.limit = limit
+        self.whole = whole
         self.data = bytearray()
+        self.left = b""
 
     def feed(self, data: bytes) -> None:
         self.data += data
@@ -173,9 +216,11 @@
         for one in self.messages():
             count += 1
             if isinstance(one, SipError):
-                bad(one)
                 if one.lost:
+                    self.left = self.left or bytes(self.data)
                     self.data.clear()
+                bad(one)
+                if one.lost:
                     break
             else:
                 good(one)
@@ -215,6 +260,10 @@
             if len(self.data) < size:
                 return
             message.body = bytes(self.data[end + 4 : size])
+            if self.whole and message.body and torn(message.body, bytes(self.data[size : size + 16])):
+                self.left = bytes(self.data[end + 4 :])
+                yield SipError("a message begins inside another", message)
+                return
             del self.data[:size]
             message.headers = [pair for pair in message.headers if pair[0].lower() != "content-length"]
             yield error or message
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -101,6 +101,7 @@
     def __init__(self, script: Script | None = None, report: str = "idle:5;circuits:5") -> None:
         self.script, self.report = script or answer, report
         self.mute = False  # takes connections and says nothing on them
+        self.parting = b""  # sent once the other side has ended the connection
         self.peers: list[Peer] = []
         self.seen: asyncio.Queue[Message] = asyncio.Queue()
 
@@ -123,6 +124,7 @@
                 if message.method == "INVITE":
                     await self.script(peer, message)
         except (EOFError, OSError, asyncio.CancelledError):
+            writer.write(self.parting)
             writer.close()
 
     async def until(self, method: str) -> Message:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from seamlb.protocol.report import parse_figures, parse_report
-from seamlb.protocol.sip import Framer, Message, SipError, parse_datagram, split_list
+from seamlb.protocol.sip import Framer, Message, SipError, parse_datagram, releases, split_list
 
 GOOD = (b"INVITE sip:7@net SIP/2.0\r\nv: SIP/2.0/TCP a;branch=z9hG4bK1,\r\n SIP/2.0/TCP b\r\ni: 1\r\n"
         b"CSeq: 1 INVITE\r\nl: 4\r\n\r\nab\r\n")
@@ -41,6 +41,31 @@
         (error,) = read(Framer(), GOOD.replace(b"l: 4", b"l: 4\r\nContent-Length: 5"))
         self.assertTrue(isinstance(error, SipError) and error.lost and error.answerable())
 
+    def test_a_body_that_stopped_short_is_not_filled_up_with_what_follows(self) -> None:
+        body = b"9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
+        head = [("Call-ID", "1"), ("CSeq", "1 INVITE")]
+        good = Message(status=200, reason="OK", headers=head, body=body).encode()
+        others = (
+            good, Message(status=503, reason="Full", headers=head).encode(),
+            Message("NOTIFY", "sip:exchange@net", headers=[("Call-ID", "2"), ("CSeq", "1 NOTIFY")]).encode(),
+            Message("BYE", "sip:call@net", headers=[("Call-ID", "2"), ("CSeq", "1 BYE")]).encode())
+        for next_one in others:
+            for missing in range(1, len(body)):
+                framer, told = Framer(whole=True), list[Message | SipError]()
+                told = read(framer, good[:-missing] + next_one + next_one)
+                self.assertFalse(told and isinstance(told[0], Message), (missing, next_one))
+            for cut in range(1, len(next_one)):  # what is whole passes, wherever it is cut
+                framer = Framer(whole=True)
+                told = read(framer, good + next_one[:cut]) + read(framer, next_one[cut:])
+                self.assertTrue(all(isinstance(one, Message) for one in told) and len(told) == 2, (cut, next_one))
+
+    def test_releases_are_found_where_the_framing_is_lost(self) -> None:
+        bye = Message("BYE", "sip:call@net", headers=[("Call-ID", "7"), ("CSeq", "1 BYE")]).encode()
+        cut = b"v=0\r\nhalf a lin" + bye + b"SIP/2.0 200 OK\r\n\r\n" + bye[:20] + bye + bye[:-30]
+        self.assertEqual([one.get("call-id") for one in releases(cut)], ["7", "7", "7"])
+        for data in (b"BYE sip:x@net SIP/2.0\r\nno colon\r\n\r\n", b"BYE sip:x@net SIP/2.0\r\nCall-ID: 12"):
+            self.assertEqual(releases(data), [])
+
     @settings(derandomize=True, deadline=None, max_examples=400)
     @given(BYTES)
     def test_no_bytes_raise_anything_else(self, data: bytes) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -54,6 +54,71 @@
                 (ended,) = [one for one in seen if isinstance(one, api.Ended)]
                 self.assertEqual((ended.status, ended.note), ends)
 
+    async def test_a_call_that_is_over_before_its_answer_came_is_not_set_up_again(self) -> None:
+        """Seen: the desk's answer was late, its release came first, and a second desk got a call that was over."""
+        async def ends_first(peer: Peer, message: Message) -> None:
+            peer.send(bye(message.get("call-id"), 16))
+            peer.send(reply(message, 200, body=SDP))
+
+        first, second = ScriptedDesk(ends_first), ScriptedDesk()
+        await self.start(first, second)
+        caller = await self.caller()
+        caller.send(invite())
+        told = await caller.next()
+        self.assertEqual((told.status, told.get("call-id")), (503, ID))
+        await first.until("BYE")  # the answer that came after all is taken down
+        self.assertTrue(second.seen.empty())
+
+    async def test_an_answer_that_stops_short_is_not_filled_up_with_the_next(self) -> None:
+        """Seen: a caller got a description that no desk had made, the next message's bytes in it."""
+        async def short(peer: Peer, message: Message) -> None:
+            whole = reply(message, 200, body=SDP).encode()
+            peer.send(whole[:-9] + reply(message, 503).encode())
+
+        await self.start(ScriptedDesk(short))
+        caller = await self.caller()
+        caller.send(invite(timer=1000))
+        self.assertNotEqual((await caller.next()).status, 200)
+        self.assertIn("malformed", [one["reason"] for one in self.events("connection_end")])
+
+    async def test_a_release_behind_an_answer_that_stopped_short_reaches_its_caller(self) -> None:
+        """Seen: the desk sends a release once, on the connection of the set-up, whose framing was lost by then."""
+        desk = ScriptedDesk()
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        await caller.until(200)
+        desk.script = silent
+        caller.send(invite("00000000000000a2", timer=5000))
+        broken = await desk.until("INVITE")
+        broken = await desk.until("INVITE")
+        peer = desk.peers[0]
+        peer.send(reply(broken, 200, body=b"x" * 400).encode()[:-300])
+        peer.send(bye(ID, 16))
+        self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
+
+    async def test_a_release_that_is_cut_off_behind_its_calls_name_reaches_its_caller(self) -> None:
+        """Seen: pieces of a release came, the rest never did, and the call was left standing."""
+        desk = ScriptedDesk()
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        await caller.until(200)
+        whole = bye(ID, 16).encode()
+        desk.peers[0].send(whole[: whole.index(b"CSeq") + 3])
+        self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
+        await self.eventually(lambda: "slow" in [one["reason"] for one in self.events("connection_end")])
+
+    async def test_a_release_that_crosses_the_end_of_a_connection_reaches_its_caller(self) -> None:
+        desk = ScriptedDesk()
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        await caller.until(200)
+        desk.parting = bye(ID, 16).encode()
+        desk.peers[0].send(b"what is this\r\n\r\n")
+        self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
+
     async def test_an_answer_that_crosses_our_cancel_is_acked_and_released(self) -> None:
         desk = ScriptedDesk(silent)
         await self.start(desk)
