Fall back from a bad descriptor, wait for peers and the board, and add seamlb admin

Not taken for it: a second way into the process beside the management address, as the control socket of the plug-ins is.

--- /dev/null
+++ b/seamlb/admin.py
@@ -0,0 +1,52 @@
+"""`seamlb admin`: the calls of the management address from a shell."""
+
+from __future__ import annotations
+
+import http.client
+import sys
+
+import click
+import orjson
+
+from seamlb.net.connection import split_address
+
+CALLS = {  # method, and what it is for
+    "health": ("GET", "Is the agent ready?"),
+    "stats": ("GET", "The figures."),
+    "quiesce": ("POST", "Empty the agent."),
+    "resume": ("POST", "Back to work."),
+}
+WITHIN = 5.0  # seconds
+
+
+@click.group()
+def admin() -> None:
+    """Ask a running agent. Exit code 0: yes, 1: no, or nobody answers, 2: bad use."""
+
+
+def _command(name: str, method: str, text: str) -> None:
+    @admin.command(name, help=text)
+    @click.option("--at", envvar="GW_MANAGEMENT", required=True, metavar="HOST:PORT",
+                  help="The agent's management address (environment: GW_MANAGEMENT).")
+    def call(at: str) -> None:
+        try:
+            host, port = split_address(at)
+        except ValueError as error:
+            raise click.UsageError(str(error)) from None
+        connection = http.client.HTTPConnection(host, port, timeout=WITHIN)
+        try:
+            connection.request(method, f"/admin/{name}")
+            answer = connection.getresponse()
+            body = answer.read()
+            told = orjson.dumps(orjson.loads(body), option=orjson.OPT_INDENT_2).decode()
+        except (OSError, http.client.HTTPException, orjson.JSONDecodeError) as error:
+            click.echo(f"seamlb admin: {at}: {error}", err=True)
+            sys.exit(1)
+        finally:
+            connection.close()
+        click.echo(told)
+        sys.exit(0 if 200 <= answer.status < 300 else 1)
+
+
+for _name, (_method, _text) in CALLS.items():
+    _command(_name, _method, _text)
--- a/seamlb/cli.py
+++ b/seamlb/cli.py
@@ -13,6 +13,7 @@
 from seamlb import __version__, config, log
 from seamlb.daemon import Daemon
 from seamlb.hook import Hook, HookError
+from seamlb.net.connection import not_listening
 
 CONFIG = click.option(
     "--config", "path", envvar="GW_CONFIG", required=True, metavar="FILE",
@@ -21,6 +22,7 @@
 
 AS_IN_FILE = config.Told()
 LAZY = {  # module, name, extra
+    "admin": ("seamlb.admin", "admin", ""),
     "lab": ("seamlb.emulator.command", "lab", "lab"),
     "plugin": ("seamlb.plugins.command", "plugin", "plugins"),
     "status": ("seamlb.plugins.command", "status", "plugins"),
@@ -93,7 +95,11 @@
               help="A listening socket handed down by whoever starts this process: callers' connections come by it.")
 def serve(path: str, plugins: str, listen: str, name: str, management: str, inherited_fd: int | None) -> None:
     """Serve calls until SIGTERM."""
-    build = _daemon(path, plugins, config.Told(listen, name, management, inherited_fd))
+    inherited = inherited_fd
+    if inherited is not None and (wrong := not_listening(inherited)):
+        log.event("not_inherited", descriptor=inherited, error=wrong)  # the address is bound instead
+        inherited = None
+    build = _daemon(path, plugins, config.Told(listen, name, management, inherited))
 
     logging.basicConfig(handlers=[log.Handler()], level=logging.WARNING)
 
@@ -104,7 +110,7 @@
         asyncio.run(run())
     except OSError as error:  # an address that can't be bound
         click.echo(f"seamlb: {error}", err=True)
-        sys.exit(1)
+        sys.exit(1 if inherited_fd is None else 2)
 
 
 @main.command("check-config")
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import fields, replace
 from typing import TYPE_CHECKING, Any
 
@@ -36,9 +37,10 @@
 BEAT_EVERY = 0.1  # seconds between two portions of what plug-ins learn beside the calls
 STEER_EVERY = 0.25  # seconds between two looks at the plan's shares
 TEND_EVERY = 0.05  # seconds between two looks at what the lifecycle wants of listeners and connections
-KNOW_DESKS = 1.0  # seconds that a process which takes over waits for the desks' state before it says that it is ready
+KNOW = 1.5  # seconds that a process which takes over waits for the board and the desks' state before it is ready
 CLIENT_SHARE = 0.6  # part of the descriptors that callers may hold; the platform says they take a third
 MAX_DATAGRAM = 256
+PEERS_EVERY = 0.5  # seconds between two tries to take over the peers' address
 
 
 class PeerLink:
@@ -50,9 +52,22 @@
         self.senders = {split_address(one): place for place, one in enumerate(config.peers)}
         self.endpoint: Endpoint | None = None
 
-    async def start(self) -> None:
-        shared = self.config.inherited is not None  # the process before this one has it bound still
-        self.endpoint = await Endpoint.bind(self.config.peer_listen, "peer", self._received, shared)
+    async def start(self) -> bool:
+        """Bind; False if another process has the address, which `follow` then waits for."""
+        # The process before this one has it bound still, in a version that shares it or in one that doesn't.
+        shared = self.config.inherited is not None
+        try:
+            self.endpoint = await Endpoint.bind(self.config.peer_listen, "peer", self._received, shared)
+        except OSError:
+            if not shared:
+                raise
+            return False
+        return True
+
+    async def follow(self) -> None:
+        """Take the address over when it comes free."""
+        while not await self.start():
+            await asyncio.sleep(PEERS_EVERY)
 
     def _received(self, data: bytes, address: tuple[str, int]) -> None:
         sender = self.senders.get(address)
@@ -101,14 +116,15 @@
             self.sip = SipFront(self.agent, self.lifecycle, plugins.sip, classify)
         self.desks: PlatformDesks | SipDesks
         if plugins.desks:
-            self.desks = SipDesks(SipEndpoint("desk"), plugins.desks.transport.upper(), settings.fields)
+            self.desks = SipDesks(
+                SipEndpoint("desk"), plugins.desks.transport.upper(), settings.fields, self.agent.counters.relay)
         else:
             self.desks = PlatformDesks(
                 settings.fields, config.connect_timeout, self.agent.sampled, self.front.release,
                 self.agent.counters.relay,
             )
         self.agent.desks = self.desks
-        self.board = Board(config.board, config.zones, self.agent.list_changed)
+        self.board = Board(config.board, config.zones, self.agent.list_changed, at_once=config.inherited is not None)
         self.members: list[Membership] = [self.board]
         if plugins.consul:
             self.members.append(Consul(plugins.consul, config.zones, self.agent.list_changed, config.seed))
@@ -179,10 +195,13 @@
     async def start(self) -> None:
         """Bind all addresses and follow the list of desks."""
         config = self.config
+        waiting: list[Coroutine[None, None, None]] = []
         if config.peer_listen and config.settings.limits.peers:
             self.peers = PeerLink(config, self.agent)
-            await self.peers.start()
             self.agent.peers = self.peers
+            if not await self.peers.start():
+                log.event("peers_wait", address=config.peer_listen)
+                waiting.append(self.peers.follow())
         if isinstance(self.desks, SipDesks) and self.plugins.desks:
             await self.desks.endpoint.listen(self.plugins.desks.udp, self.plugins.desks.tcp)
         if config.known:
@@ -194,11 +213,15 @@
             self.front.start()
         if self.sip:
             await self.sip.start()
-        self.following = [loop.create_task(self._follow(member)) for member in self.members]
+        waiting += [self._follow(member) for member in self.members]
+        self.following = [loop.create_task(one) for one in waiting]
         if config.inherited is not None:
             # The process before this one still takes calls: this one begins when it knows the desks.
-            if isinstance(self.desks, PlatformDesks):
-                await self.desks.known(KNOW_DESKS)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(KNOW):
+                    await self.board.caught_up.wait()
+                    if isinstance(self.desks, PlatformDesks):
+                        await self.desks.known()
             self.front.start(config.inherited)
         bound = {"platform": f"{split_address(config.listen)[0]}:{self.front.listener.port}"} if config.listen else {}
         if self.sip:
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -132,11 +132,9 @@
                 if not self._legs_on(connection):
                     connection.close(CloseReason.IDLE)
 
-    async def known(self, within: float) -> None:
-        """Wait until each listed desk has told its state or turned out to be out of reach, for `within` seconds."""
-        loop = asyncio.get_running_loop()
-        until = loop.time() + within
-        while loop.time() < until and not all(link.tells or link.dead for link in self.links.values()):
+    async def known(self) -> None:
+        """Wait until each listed desk has told its state or turned out to be out of reach."""
+        while not all(link.tells or link.dead for link in self.links.values()):
             await asyncio.sleep(0.02)
 
     def close(self) -> None:
--- a/seamlb/desks/sip.py
+++ b/seamlb/desks/sip.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from seamlb import log
@@ -41,8 +41,12 @@
 class SipDesks:
     """Carries attempts to desks that speak SIP."""
 
-    def __init__(self, endpoint: SipEndpoint, transport: str, fields: Sequence[str]) -> None:
+    def __init__(
+        self, endpoint: SipEndpoint, transport: str, fields: Sequence[str],
+        relayed: Callable[[], None] = lambda: None,
+    ) -> None:
         self.endpoint = endpoint
+        self.relayed = relayed  # an attempt has left whole
         self.transport = transport
         self.fields = fields
         self.desks: dict[str, Desk] = {}
@@ -76,7 +80,8 @@
         leg = Leg(attempt, heard, message, target)
         self.legs[attempt.desk, request.ident] = leg
         leg.entry = self.endpoint.request(
-            message, target, lambda answer: self._answer(leg, answer), lambda how: self._broken(leg, how)
+            message, target, lambda answer: self._answer(leg, answer), lambda how: self._broken(leg, how),
+            self.relayed,
         )
 
     def give_up(self, attempt: Attempt) -> None:
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -100,7 +100,8 @@
             return
         standing = {call.client for call in self.calls.values()} if self.lifecycle.keeps_standing else set()
         for client in self.clients - standing:
-            if client.connection.quiet(least):
+            # Half a message has its own time to become whole: its caller is not cut off in the middle.
+            if not client.framer.data and client.connection.quiet(least):
                 client.connection.close(CloseReason.QUIESCED)
 
     def close(self) -> None:
--- a/seamlb/membership/board.py
+++ b/seamlb/membership/board.py
@@ -25,8 +25,10 @@
 class Board:
     """Follows the list of desks by long polls on one connection."""
 
-    def __init__(self, address: str, zones: Sequence[str], changed: Changed) -> None:
+    def __init__(self, address: str, zones: Sequence[str], changed: Changed, at_once: bool = False) -> None:
         self.address = address
+        self.caught_up = asyncio.Event()  # the board has answered once: nothing older is unknown
+        self.at_once = at_once  # have the first answer without a wait
         self.zones = {name: place for place, name in enumerate(zones)}
         self.changed = changed
         self.rev = 0
@@ -84,12 +86,14 @@
             while True:
                 await asyncio.sleep(pause)
                 pause = min(max(2 * pause, RETRY_FIRST), RETRY_MOST)
-                path = f"/board/poll?watch={self.rev}&linger={int(LINGER * 1000)}"
+                linger = 0 if self.at_once and not self.caught_up.is_set() else int(LINGER * 1000)
+                path = f"/board/poll?watch={self.rev}&linger={linger}"
                 try:
                     answer = await poller.get(path, LINGER + SILENCE)
                     if answer.status != 200:
                         raise NoticeError(f"status {answer.status}")
                     self.known(orjson.loads(answer.body))
+                    self.caught_up.set()
                 except PollFailed:
                     continue
                 except (NoticeError, orjson.JSONDecodeError) as error:
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -44,6 +44,20 @@
     return host.strip("[]"), int(port)
 
 
+def not_listening(descriptor: int) -> str:
+    """Why a descriptor that was handed down can't be listened on; empty if it can."""
+    try:
+        sock = socket.socket(fileno=descriptor)
+    except OSError as error:
+        return error.strerror or str(error)
+    try:
+        return "" if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN) else "not a listening socket"
+    except OSError as error:
+        return error.strerror or str(error)
+    finally:
+        sock.detach()
+
+
 class Connection:
     """One connection; whoever calls `run` gets its bytes until it ends."""
 
@@ -279,10 +293,7 @@
 
         It is closed at the end and never shut down, as that would end it for them as well.
         """
-        sock = socket.socket(fileno=descriptor)
-        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-            raise OSError(errno.EINVAL, f"descriptor {descriptor} is no listening socket")
-        self._start(sock)
+        self._start(socket.socket(fileno=descriptor))
 
     def _start(self, sock: socket.socket) -> None:
         sock.setblocking(False)
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -152,9 +152,10 @@
     # -- transactions -------------------------------------------------------------------------
 
     def request(
-        self, message: Message, target: Target, deliver: Callable[[Message], None], failed: Callable[[str], None]
+        self, message: Message, target: Target, deliver: Callable[[Message], None], failed: Callable[[str], None],
+        out: Callable[[], None] = lambda: None,
     ) -> Entry:
-        """Start a client transaction; `failed` is told `timeout`, `connect` or `lost`."""
+        """Start a client transaction; `failed` is told `timeout`, `connect` or `lost`, `out` that it has left."""
         reliable = target.transport == "TCP"
         machine = (ClientInvite if message.method == "INVITE" else ClientOther)(message, reliable)
         entry = Entry(client_key(message), machine, lambda one: None, deliver, failed)
@@ -165,11 +166,15 @@
                 failed(how)
 
         def carried(connection: Connection) -> None:
+            if entry.connection is None:  # its ACK may go by it too
+                out()
             entry.connection = connection
 
         entry.send = lambda one: self.transmit(one, target, broken, carried)
         self.clients[entry.key] = entry
         self._carry(entry, machine.start(self._now()))
+        if not reliable:
+            out()
         return entry
 
     def respond(self, entry: Entry, message: Message) -> None:
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -115,6 +115,41 @@
             with self.assertRaises(EOFError):
                 await busy.next()
 
+    async def test_half_a_message_keeps_its_connection_until_it_is_whole(self) -> None:
+        daemon = await self.serve(ScriptedDesk())
+        caller = await self.caller()
+        caller.send(plain("OPTIONS", "t"))
+        await caller.until(200)
+        data = invite().encode()
+        caller.send(data[:40])
+        (client,) = daemon.front.clients
+        await self.eventually(lambda: client.framer.data)
+        with mock.patch.multiple(lifecycle, SETTLE=0.0, CALM=0.0, HURRY=0.0):
+            await self.call("POST", "/admin/quiesce")
+            daemon.tend()
+            caller.send(data[40:])
+            self.assertEqual((await caller.until(200)).get("call-id"), "00000000000000a1")
+
+    async def test_a_quiesced_process_drains_and_takes_new_files(self) -> None:
+        daemon = await self.serve(ScriptedDesk())
+        daemon.reread = lambda: (daemon.config, daemon.plugins)
+        await self.call("POST", "/admin/quiesce")
+        daemon.reload()
+        self.assertEqual((await self.figures())["cfg_accepted"], 1)
+        self.assertEqual((await self.call("POST", "/admin/quiesce"))[0], 200)
+        daemon.lifecycle.terminate(0.0)
+        self.assertEqual((await self.call("POST", "/admin/quiesce"))[0], 409)
+
+    async def test_attempts_by_sip_count_too(self) -> None:
+        for transport in ("udp", "tcp"):
+            with self.subTest(transport=transport):
+                daemon = await self.start_sip(transport)
+                caller = await self.sip_caller(daemon, transport)
+                for number in ("ok", "503"):
+                    await caller.invite(number)
+                told = daemon.figures()
+                self.assertEqual((told["fulfilled"]["a"], told["throttled"]["a"], told["relayed"]), (1, 1, 2))
+
     async def test_what_is_wrong_is_said_and_a_drain_can_not_be_called_back(self) -> None:
         daemon = await self.serve(ScriptedDesk())
         self.assertEqual((await self.call("GET", "/admin/nothing"))[0], 404)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import json
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +13,7 @@
 from tests.loopback import ScriptedDesk, Story, invite, silent
 from tests.support import RAW, demand, ended, listed, sent_to, settings
 
+ROOT = Path(__file__).resolve().parent.parent
 A, B = RAW["Classes"]
 C = A | {"Name": "c", "Worth": 2.0}
 
@@ -70,6 +72,19 @@
     assert 3 in controller.calls
 
 
+def without_each_key(value: Any, where: str = "") -> Iterator[tuple[str, Any]]:
+    """The value less one key, for each key at any depth."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield f"{where}.{key}".lstrip("."), {name: one for name, one in value.items() if name != key}
+            for path, less in without_each_key(inner, f"{where}.{key}"):
+                yield path, value | {key: less}
+    elif isinstance(value, list) and len(value) > 1:  # what the others have is needed
+        for place, inner in enumerate(value):
+            for path, less in without_each_key(inner, f"{where}[{place}]"):
+                yield path, [*value[:place], less, *value[place + 1 :]]
+
+
 class Reloads(Story):
     async def serve(self, **change: Any) -> tuple[Daemon, ScriptedDesk]:
         self.path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
@@ -84,6 +99,23 @@
     def write(self, told: Any) -> None:
         self.path.write_text(told if isinstance(told, str) else json.dumps(told))
 
+    async def test_a_real_file_that_is_cut_anywhere_or_lacks_any_key_is_turned_down_whole(self) -> None:
+        daemon, _ = await self.serve()
+        text = (ROOT / "examples" / "config.json").read_text().strip()
+        whole = json.loads(text)
+        self.write(whole)
+        daemon.config = config.load(str(self.path))
+        before, known = daemon.config, whole.pop("known", None)
+        broken = [(f"cut at {at}", text[:at]) for at in range(len(text))]
+        broken += [(path, less | ({"known": known} if known else {})) for path, less in without_each_key(whole)]
+        self.assertGreater(len(broken), len(text) + 40)
+        for what, told in broken:
+            self.write(told)
+            daemon.reload()
+            self.assertIs(daemon.config, before, what)
+        self.assertEqual((daemon.cfg_accepted, daemon.cfg_invalid), (0, len(broken)))
+        self.assertEqual(len(self.events("reload_failed")), len(broken))
+
     async def test_a_class_comes_and_another_goes(self) -> None:
         daemon, desk = await self.serve()
         caller = await self.caller()
