--- a/seamlb/api.py
+++ b/seamlb/api.py
@@ -112,6 +112,11 @@
     kinds: Mapping[str, int] = field(default_factory=dict)
     tenants: Mapping[str, int] = field(default_factory=dict)
 
+    @property
+    def patience(self) -> float:
+        """The longest that a caller waits."""
+        return max(kind.deadline for kind in self.classes)
+
     def after(self, old: Settings) -> Settings:
         """This version as the one that follows `old`: who has a number there keeps it, and none comes back.
 
--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -45,13 +45,16 @@
     board: str
     known: Mapping[str, Any] | None
     settings: api.Settings
-    tenants: tuple[str, ...]
     zones: tuple[str, ...]
     connect_timeout: float  # seconds
     max_open: int
     raw: Mapping[str, Any]  # as read, without the list of desks
     source: str = ""  # the file
 
+    @property
+    def tenants(self) -> tuple[str, ...]:
+        return tuple(self.settings.tenants)
+
     def lacks(self, new: Config) -> str:
         """The first key of this one that a new one has not; empty if it has all."""
         return _lacks(self.raw, new.raw)
@@ -107,8 +110,9 @@
         raise ValueError("settings: not an object")
     limits = raw.get("limits") or {}
     bounds = settings.get("Limits") or {}
-    for part in ("Classes", "Tenants"):
-        names = [str(one.get("Name", "")) for one in settings.get(part) or ()]
+    classes = [str(one.get("Name", "")) for one in settings.get("Classes") or ()]
+    tenants = [str(one["Name"]) for one in settings.get("Tenants") or ()]
+    for part, names in (("Classes", classes), ("Tenants", tenants)):
         if doubled := [name for name in names if names.count(name) > 1]:
             raise ValueError(f"settings.{part}: {doubled[0]!r} is there twice")
     if raw.get("known"):
@@ -134,7 +138,6 @@
         board=addresses.get("board", ""),
         known=raw.get("known"),
         settings=api.Settings.from_mapping(settings),
-        tenants=tuple(str(one["Name"]) for one in settings.get("Tenants") or ()),
         zones=tuple(map(str, settings.get("Azs") or ())),
         connect_timeout=float(bounds.get("ConnectTimeout", 500.0)) / 1000.0,
         max_open=int(bounds.get("MaxOpen", 20000)),
--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -213,7 +213,7 @@
         self.reserve = [RESERVE * max(0.0, math.log(plain / -u)) if u and plain else 0.0 for u, *_ in order]
         self.limit_of = [self.limits.index(limit[place]) for _, _, _, place in order]
         self.floor_ratio = [FLOORS[min(rank, len(FLOORS) - 1)] for rank in range(len(order))]
-        self.patience = max(kind.deadline for kind in settings.classes)
+        self.patience = settings.patience
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take one event at clock time `now`; returns the actions in order."""
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -32,7 +32,7 @@
     from seamlb.plugins.loading import PluginsTable
     from seamlb.plugins.service import PluginService
 
-SETTINGS = ("settings", "tenants", "max_open", "connect_timeout")
+SETTINGS = ("settings", "max_open", "connect_timeout")
 TAKEN_OVER = ("board", "known", "plan", "plugins", "raw", *SETTINGS)  # by SIGHUP
 BEAT_EVERY = 0.1  # seconds between two portions of what plug-ins learn beside the calls
 STEER_EVERY = 0.25  # seconds between two looks at the plan's shares
@@ -98,8 +98,7 @@
         self.hook = Hook(plugins.hook) if plugins.hook else None
         clock = Clock().now
         self.local = self._local(plugins.plugins, clock)
-        longest = max(kind.deadline for kind in settings.classes) / 1000.0
-        self.lifecycle = Lifecycle(longest, config.inherited is not None)
+        self.lifecycle = Lifecycle(settings.patience / 1000.0, config.inherited is not None)
         self.agent = Agent(
             settings, config.seed, config.max_open, clock, observe=self._observe if self.hook else None,
             advisor=self.local.advisor if self.local else None)
@@ -141,14 +140,17 @@
 
         return PluginService(table, load_all(table), self.config.settings, self.config.tenants, clock)
 
-    async def _beat(self, local: PluginService) -> None:
-        """What plug-ins learn beside the calls."""
-        while True:
-            await asyncio.sleep(BEAT_EVERY)
-            try:
-                local.advisor.beat(len(self.agent.listed))
-            except Exception as error:  # a fault in their host must not end the calls
-                log.event("fault", where="plugins", error=repr(error), trace=log.trace(error))
+    def _every(self, seconds: float, where: str, step: Callable[[], None]) -> None:
+        """Do something again and again while the daemon runs; a fault in it is logged and must not end the calls."""
+        async def go() -> None:
+            while True:
+                await asyncio.sleep(seconds)
+                try:
+                    step()
+                except Exception as error:
+                    log.event("fault", where=where, error=repr(error), trace=log.trace(error))
+
+        self.following.append(asyncio.get_running_loop().create_task(go()))
 
     def _reload_local(self, table: PluginsTable | None, waits: list[str]) -> None:
         """Plug-ins as they are in the files now; ConfigError, and nothing changed, if these have changed again."""
@@ -174,16 +176,7 @@
         self.guide.listed(self.agent.clock(), self.agent.listed.values())
         self.guide.adopt(self.agent.clock(), plan)
         self.agent.steer()
-        self.following.append(asyncio.get_running_loop().create_task(self._steer()))
-
-    async def _steer(self) -> None:
-        """Move the plan's shares while the daemon serves."""
-        while True:
-            await asyncio.sleep(STEER_EVERY)
-            try:
-                self.agent.steer()
-            except Exception as error:  # a fault in steering must not end the calls
-                log.event("fault", where="plan", error=repr(error), trace=log.trace(error))
+        self._every(STEER_EVERY, "plan", self.agent.steer)
 
     def _observe(self, request: Request, result: str, attempts: int) -> None:
         if self.hook:
@@ -231,27 +224,19 @@
         if self.plugins.plan:
             self._follow_plan(self.plugins.plan)
         if self.local:
-            self.following.append(loop.create_task(self._beat(self.local)))
+            advisor = self.local.advisor
+            self._every(BEAT_EVERY, "plugins", lambda: advisor.beat(len(self.agent.listed)))
             if self.local.table.control:
                 from seamlb.plugins.control import ControlSocket
 
                 self.control = ControlSocket(self.local.table.control, self.local.handle)
                 await self.control.start()
         self.lifecycle.started(loop.time())
-        self.following.append(loop.create_task(self._tend()))
+        self._every(TEND_EVERY, "lifecycle", self.tend)
         log.event("serving", name=config.name, listen=config.listen, version=__version__)
 
-    async def _tend(self) -> None:
-        """Have the fronts do what the lifecycle says, from a quiesce or a drain on."""
-        while True:
-            await asyncio.sleep(TEND_EVERY)
-            try:
-                self.tend()
-            except Exception as error:  # what is left can still be tended the next time
-                log.event("fault", where="lifecycle", error=repr(error), trace=log.trace(error))
-
     def tend(self) -> None:
-        """Do what the lifecycle says now."""
+        """Have the fronts do what the lifecycle says now."""
         now = asyncio.get_running_loop().time()
         self.front.tend(now)
         if self.sip:
@@ -314,7 +299,7 @@
         self.agent.max_open = config.max_open
         if isinstance(self.desks, PlatformDesks):
             self.desks.connect_timeout = config.connect_timeout
-        self.lifecycle.longest = max(kind.deadline for kind in self.agent.settings.classes) / 1000.0
+        self.lifecycle.longest = self.agent.settings.patience / 1000.0
         self.config = replace(self.config, **{name: getattr(config, name) for name in SETTINGS})
         log.event("settings", classes=sorted(config.settings.kinds), attempts=config.settings.limits.attempts_cap)
         return [f"settings.{name}" for name in config.settings.waits(old.settings)]
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -284,7 +284,7 @@
 
         def leave(reason: CloseReason, left: bytes) -> None:
             """The connection is of no use any more; what stands there may yet be released on it."""
-            if any(leg.stands and key[0] == link.desk.ident for key, leg in self.legs.items()):
+            if self._standing(link):
                 connection.residue = salvage
                 connection.refuse(reason)
                 self._lost(link, connection)
@@ -340,10 +340,12 @@
             connection.finish(CloseReason.REPLACED)
 
     def _cut_standing(self, link: Link) -> None:
-        for key, leg in list(self.legs.items()):
-            if key[0] == link.desk.ident and leg.stands:
-                self._over(key)
-                leg.heard(leg.attempt.leg, Outcome(Status.RESET, cause=CUT))
+        for key, leg in self._standing(link):
+            self._over(key)
+            leg.heard(leg.attempt.leg, Outcome(Status.RESET, cause=CUT))
+
+    def _standing(self, link: Link) -> list[tuple[tuple[str, str], Leg]]:
+        return [(key, leg) for key, leg in self.legs.items() if key[0] == link.desk.ident and leg.stands]
 
     def _usable(self, link: Link) -> Connection | None:
         return next((one for one in reversed(link.open) if not one.over()), None)
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -44,6 +44,11 @@
     return host.strip("[]"), int(port)
 
 
+def family(host: str) -> socket.AddressFamily:
+    """The address family of a host as `split_address` gives it."""
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
+
+
 def not_listening(descriptor: int) -> str:
     """Why a descriptor that was handed down can't be listened on; empty if it can."""
     try:
@@ -85,15 +90,20 @@
     def closed(self) -> bool:
         return self.reason is not None or self.ending is not None or self.stream.closed()
 
+    def _peek(self) -> bytes | None:
+        """What waits in the socket, a byte of it; empty at the other side's end, None if there is nothing."""
+        try:
+            return self.stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+
     def over(self) -> bool:
         """Has the other side ended it, though the loop has not come to that yet?
 
         Guards what must not be sent twice: written now, nobody could tell whether it had been read.
         """
         try:
-            return self.closed or self.stream.socket.recv(1, socket.MSG_PEEK) == b""
-        except BlockingIOError:
-            return False
+            return self.closed or self._peek() == b""
         except OSError:
             return True
 
@@ -105,9 +115,7 @@
         if self.closed or self.in_use() or asyncio.get_running_loop().time() - self.last_read < least:
             return False
         try:
-            return not self.stream.writing() and self.stream.socket.recv(1, socket.MSG_PEEK) == b""
-        except BlockingIOError:
-            return True
+            return not self.stream.writing() and not self._peek()
         except OSError:
             return False  # the reader sees it too
 
@@ -245,8 +253,7 @@
 async def connect(address: str, kind: str, timeout: float) -> Connection:
     """Open a connection; ConnectFailed says why there is none, and its log line is written."""
     host, port = split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    stream = IOStream(socket.socket(family), max_buffer_size=4 * READ_CHUNK, max_write_buffer_size=MAX_UNSENT)
+    stream = IOStream(socket.socket(family(host)), max_buffer_size=4 * READ_CHUNK, max_write_buffer_size=MAX_UNSENT)
     try:
         await asyncio.wait_for(stream.connect((host, port)), timeout)
     except TimeoutError:
@@ -281,8 +288,7 @@
     def start_at(self, address: str) -> None:
         """Listen on this address only."""
         host, port = split_address(address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family)
+        sock = socket.socket(family(host))
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
         sock.listen(512)
--- a/seamlb/net/datagram.py
+++ b/seamlb/net/datagram.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from seamlb import log
-from seamlb.net.connection import split_address
+from seamlb.net.connection import family, split_address
 
 Received = Callable[[bytes, tuple[str, int]], None]
 
@@ -26,7 +26,7 @@
     async def bind(cls, address: str, kind: str, received: Received, shared: bool = False) -> Endpoint:
         """Bind an address; a shared one may be bound by another process too, the last of which gets what comes."""
         host, port = split_address(address)
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
+        sock = socket.socket(family(host), socket.SOCK_DGRAM)
         try:
             if shared:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/seamlb/plugins/service.py
+++ b/seamlb/plugins/service.py
@@ -20,8 +20,8 @@
                  offices: Sequence[str], clock: Callable[[], float]) -> None:
         self.table, self.clock = table, clock
         top = max(settings.classes, key=lambda kind: kind.worth)
-        hold = max(kind.deadline for kind in settings.classes)
-        self.chain = Chain(table.fuel, table.part, [kind.name for kind in settings.classes], offices, top.name, hold,
+        self.chain = Chain(table.fuel, table.part, [kind.name for kind in settings.classes], offices, top.name,
+                           settings.patience,
                            lambda name, facts: log.event(name, **facts))
         self.advisor = PluginAdvisor(self.chain, settings, offices, clock)
         self.grants: dict[str, Grant] = {}
--- a/seamlb/protocol/sip.py
+++ b/seamlb/protocol/sip.py
@@ -12,6 +12,7 @@
     b"ACK", b"BYE", b"CANCEL", b"INFO", b"INVITE", b"MESSAGE", b"NOTIFY", b"OPTIONS", b"PRACK", b"PUBLISH", b"REFER",
     b"REGISTER", b"SUBSCRIBE", b"UPDATE")
 START_SEEN = 3  # bytes of a start at a body's end that can't be chance
+TAILS = tuple(start[:size] for start in STARTS for size in range(START_SEEN, len(start)))
 RELEASE = re.compile(rb"BYE sips?:\S+ SIP/2\.0\r\n((?:[A-Za-z-]+:[^\r\n]*\r\n)+)")
 COMPACT = {
     "v": "via", "f": "from", "t": "to", "i": "call-id", "m": "contact", "l": "content-length",
@@ -176,8 +177,7 @@
     what is left begins in the middle of one.
     """
     inside = any(start in body for start in STARTS)
-    at_end = any(body.endswith(start[:size]) for start in STARTS for size in range(START_SEEN, len(start)))
-    return inside or at_end or not begins(rest)
+    return inside or body.endswith(TAILS) or not begins(rest)
 
 
 def releases(data: bytes) -> list[Message]:
@@ -217,7 +217,7 @@
             count += 1
             if isinstance(one, SipError):
                 if one.lost:
-                    self.left = self.left or bytes(self.data)
+                    self.left = bytes(self.data)
                     self.data.clear()
                 bad(one)
                 if one.lost:
@@ -261,7 +261,7 @@
                 return
             message.body = bytes(self.data[end + 4 : size])
             if self.whole and message.body and torn(message.body, bytes(self.data[size : size + 16])):
-                self.left = bytes(self.data[end + 4 :])
+                del self.data[: end + 4]
                 yield SipError("a message begins inside another", message)
                 return
             del self.data[:size]
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -87,7 +87,7 @@
     ) -> None:
         self.settings = settings
         self.advisor = advisor
-        self.module = Controller(advisor.extend(settings) if advisor else settings, seed)
+        self.module = Controller(self._for_module(settings), seed)
         self.clock = clock or Clock().now
         self.max_open = max_open
         self.leaving: Callable[[], bool] = lambda: False  # is the process being emptied, with no time left to wait?
@@ -145,7 +145,10 @@
         """Serve by these settings from now on, which follow those in force; what is open keeps its class."""
         self.settings = settings
         self.counters.know(tuple(settings.kinds))
-        self.tell(api.Retuned(self.advisor.extend(settings) if self.advisor else settings))
+        self.tell(api.Retuned(self._for_module(settings)))
+
+    def _for_module(self, settings: api.Settings) -> api.Settings:
+        return self.advisor.extend(settings) if self.advisor else settings
 
     # -- the list of desks --------------------------------------------------------------------
 
@@ -170,8 +173,7 @@
         if self.guide:
             now = self.clock()
             self.guide.step(now)
-            inputs = self.guide.inputs(now)
-            self.module.set = self.advisor.extend(inputs) if self.advisor else inputs
+            self.module.set = self._for_module(self.guide.inputs(now))
             news, self.guide.news = self.guide.news, []
             for name, facts in news:
                 log.event(name, **facts)
--- a/seamlb/routing/counters.py
+++ b/seamlb/routing/counters.py
@@ -9,7 +9,7 @@
     """By class, as callers name it; a class that is dropped keeps what it has."""
 
     def __init__(self) -> None:
-        self.known: dict[str, None] = {}  # shown with 0 before their first request
+        self.known: dict[str, None] = {}  # all that requests could ever name, shown with 0 before the first
         self.fulfilled: Counter[str] = Counter()  # a desk took the call
         self.throttled: Counter[str] = Counter()  # refused: trying again is harmless
         self.faulted: Counter[str] = Counter()  # failed
@@ -25,9 +25,8 @@
 
     def table(self) -> dict[str, dict[str, int] | int]:
         """The figures by their names on the page."""
-        kinds = [*self.known, *(self.fulfilled + self.throttled + self.faulted).keys() - self.known.keys()]
         return {
-            name: {kind: counted[kind] for kind in kinds}
+            name: {kind: counted[kind] for kind in self.known}
             for name, counted in (
                 ("fulfilled", self.fulfilled), ("throttled", self.throttled), ("faulted", self.faulted))
         } | {"relayed": self.relayed}
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from seamlb import api, lifecycle
+from seamlb.daemon import TEND_EVERY
 from seamlb.fronts import management
 from seamlb.protocol.http import HttpError, Request, RequestReader, ResponseReader
 from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, bye, invite, plain, refuse, silent
@@ -56,7 +57,7 @@
         daemon = await self.start(*desks, management="127.0.0.1:0", **change)
         daemon.management.start()
         self.operators = f"127.0.0.1:{daemon.management.listener.port}"
-        daemon.following.append(asyncio.create_task(daemon._tend()))
+        daemon._every(TEND_EVERY, "lifecycle", daemon.tend)
         return daemon
 
     async def raw(self, data: bytes) -> bytes:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -99,14 +99,13 @@
             sys.executable, *arguments, cwd=ROOT, env=os.environ | environment, pass_fds=fds,
             stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
 
-        self.addAsyncCleanup(self.gone, process)
-        return process
+        async def stop() -> None:
+            if process.returncode is None:
+                process.kill()
+            await process.communicate()
 
-    @staticmethod
-    async def gone(process: asyncio.subprocess.Process) -> None:
-        if process.returncode is None:
-            process.kill()
-        await process.communicate()
+        self.addAsyncCleanup(stop)
+        return process
 
     async def line(self, process: asyncio.subprocess.Process, holds: str) -> str:
         async with asyncio.timeout(PATIENCE):
@@ -198,13 +197,11 @@
         async def agent() -> asyncio.subprocess.Process:
             fd = os.dup(held.fileno())
             try:
-                process = await asyncio.create_subprocess_exec(
-                    sys.executable, "-m", "seamlb", cwd=ROOT, pass_fds=(fd,), stdout=subprocess.PIPE,
-                    env=os.environ | {"GW_CONFIG": str(path), "GW_INHERITED_FD": str(fd),
-                                      "GW_MANAGEMENT": await self.free_address()})
+                process = await self.process(
+                    "-m", "seamlb", fds=(fd,), GW_CONFIG=str(path), GW_INHERITED_FD=str(fd),
+                    GW_MANAGEMENT=await self.free_address())
             finally:
                 os.close(fd)
-            self.addAsyncCleanup(self.gone, process)
             await self.line(process, '"serving"')
             return process
 
