Keep in a test what the running daemon holds: one process, no child, no Unix listener

Seen through /proc on the platform's path (python -m seamlb with GW_CONFIG, GW_LISTEN, GW_MANAGEMENT) after one caller: 1 thread, no children, libc mapped, descriptors: 5 sockets (two TCP listeners, the caller's connection, and asyncio's socketpair, which nobody comes to), 1 epoll, 2 pipes (the test's), 1 file; no io_uring. The test holds it; a second test shows that a Unix socket listened on is seen, so the look can fail.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -91,6 +91,14 @@
                 self.assertEqual(len(self.events("hook_disabled")), 1)
 
 
+def unix_listeners() -> set[str]:
+    """The inodes of Unix sockets listened on anywhere on this machine, from /proc/net/unix."""
+    rows = Path("/proc/net/unix").read_text().splitlines()[1:]
+    # Flags 00010000 is __SO_ACCEPTCON: a socket that somebody is meant to come to.
+    return {row.split()[6] for row in rows if len(row.split()) > 6 and int(row.split()[3], 16) & 0x10000}
+
+
+
 class Processes(Story):
     async def process(
         self, *arguments: str, fds: tuple[int, ...] = (), **environment: str
@@ -271,3 +279,51 @@
         self.assertEqual(await asyncio.wait_for(call.wait(), PATIENCE), 0)
         agent.send_signal(signal.SIGTERM)
         self.assertEqual(await asyncio.wait_for(agent.wait(), PATIENCE), 0)
+
+
+    @unittest.skipUnless(Path("/proc/net/unix").exists(), "needs /proc to look at sockets")
+    async def test_a_unix_socket_listened_on_is_seen(self) -> None:  # so that the look below can fail
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        with socket.socket(socket.AF_UNIX) as listener:
+            listener.bind(str(folder / "s"))
+            self.assertNotIn(str(os.fstat(listener.fileno()).st_ino), unix_listeners())
+            listener.listen()
+            self.assertIn(str(os.fstat(listener.fileno()).st_ino), unix_listeners())
+
+    # The fleet's bench refuses fork, other programs, io_uring and Unix sockets anybody comes to.
+    @unittest.skipUnless(Path("/proc/self/task").is_dir(), "needs /proc to look at the running process")
+    async def test_the_running_daemon_is_one_process_with_tcp_listeners_and_no_unix_listener(self) -> None:
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
+        path.write_text(json.dumps({"settings": RAW, "name": "n", "listen": "127.0.0.1:0"}))
+        listen, management = await self.free_address(), await self.free_address()
+        agent = await self.process("-m", "seamlb", GW_CONFIG=str(path), GW_LISTEN=listen,
+                                   GW_MANAGEMENT=management, GW_NAME="n1")
+        await self.line(agent, '"serving"')
+        caller = await Peer.dial(listen)  # one caller, so that what a connection opens is seen too
+        caller.send(invite(timer=300))
+        self.assertIn((await caller.next()).status, (500, 503))
+        proc = Path(f"/proc/{agent.pid}")
+        children = {c for task in (proc / "task").iterdir() for c in (task / "children").read_text().split()}
+        self.assertEqual(children, set(), "the daemon started other programs")
+        maps = (proc / "maps").read_text()
+        self.assertIn("libc.so", maps, "not linked dynamically against the C library")
+        kinds: dict[str, int] = {}
+        sockets: set[str] = set()
+        for fd in (proc / "fd").iterdir():
+            try:
+                target = os.readlink(fd)
+            except FileNotFoundError:  # closed while we looked
+                continue
+            kind = target.split(":")[0] if ":" in target else "file"
+            kind = target if kind == "anon_inode" else kind
+            kinds[kind] = kinds.get(kind, 0) + 1
+            if target.startswith("socket:["):
+                sockets.add(target[8:-1])
+        self.assertFalse([kind for kind in kinds if "io_uring" in kind], kinds)
+        self.assertEqual(sockets & unix_listeners(), set(), "a Unix socket is listened on")
+        tcp = {row.split()[9] for name in ("tcp", "tcp6")
+               for row in (proc / "net" / name).read_text().splitlines()[1:]}
+        self.assertGreaterEqual(len(sockets & tcp), 3, kinds)  # callers', operators' and the caller's connection
+        caller.close()
+        agent.send_signal(signal.SIGTERM)
+        self.assertEqual(await asyncio.wait_for(agent.wait(), PATIENCE), 0)
