Begin an agent's part of the desks at its part of all tenants' allowances

Both budgets grow with `Controller._part`, the agent's part of a desk, which counts answers from nought: who has just been restarted gets 1/30 s of a call a desk, refuses, and so has no answers to count.

Mended: the rate begins at the sum of the tenants' allowances divided by the agents, weighing as much as two answers; without allowances nothing changes.

Option not taken: counting demands in place of answers. In an overload their sum is above what the desks can do, and the cold budget would be too.

The outcomes that prove nothing ran, and those that rule 5 bars after, are named in api.py, where they belong.

--- a/seamlb/api.py
+++ b/seamlb/api.py
@@ -27,6 +27,10 @@
     MOOT = 7
 
 
+NEVER_RAN = frozenset({Status.FULL, Status.CONNECT_FAILED, Status.MOOT})  # proof that the attempt did nothing
+BARRING = frozenset({Status.TIMEOUT, Status.RESET, Status.CANCELLED})  # rule 5: lines may stay taken for a while
+
+
 class Availability(IntEnum):
     """What the list says of a core server."""
 
--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -14,7 +14,6 @@
 from dataclasses import dataclass, field
 
 from seamlb import api
-from seamlb.api import Status
 
 MARGIN = 0.9  # paper: f, the factor on the right side of (4) and (6) for level 1
 STREAK = 5  # paper: consecutive detections before a level changes, of all nodes: each sees its part
@@ -26,6 +25,7 @@
 RECOVER_MS = 5000.0  # ours: evidence of a server fades with this, and older than this tells nothing
 PROCESSOR_FULL = 3  # wire: the note of a processor that turns set-ups away
 FADE_MS = 30000.0  # ours: time constant of this node's rate of answers
+USUAL = 2.0  # ours: answers that what the settings let a node expect weighs as much as
 SILENT_TIMES = 2.0  # ours: a server is silent after this many times its recent slowness
 COLD_SAFETY = 0.6  # ours: part of rule 4's budget that is used; repeats and rejects count there too
 SPILL = 4.0  # ours: spill may fill a server up to this many times its part by lines
@@ -129,9 +129,8 @@
     def x(self, awake: float) -> float:
         """Paper's x: a high quantile of delay per own set-up outstanding; nought without evidence.
 
-        The oldest unanswered counts by age: a server that stops sends no delays; harms in an idle time.
+        The oldest that none overtook counts by age: a stopped server sends no delays; harms in an idle time.
         """
-        # One that a later one overtook is lost, not waiting in a queue.
         ages = [(awake - sent) / out for _, sent, out in self.pending.values() if sent >= self.passed]
         ratios = sorted(ratio for at, ratio in self.ratios if awake - at < RECOVER_MS)
         return max(ages[:1] + ratios[int(len(ratios) * QUANTILE):][:1], default=0.0)
@@ -214,6 +213,8 @@
         self.limit_of = [self.limits.index(limit[place]) for _, _, _, place in order]
         self.floor_ratio = [FLOORS[min(rank, len(FLOORS) - 1)] for rank in range(len(order))]
         self.patience = settings.patience
+        rate = sum(settings.allowances) / settings.instances / 1000.0
+        self.usual = (USUAL / FADE_MS, USUAL / FADE_MS / rate) if rate else (0.0, 0.0)
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take one event at clock time `now`; returns the actions in order."""
@@ -258,11 +259,13 @@
     def _part(self, now: float, core: Core) -> float:
         """Set-ups per millisecond this node may count on from a server of this size once it is warm.
 
-        Its part by lines of all answers to this node. Guards rule 4 and the floors where each of many
-        nodes meets a server once in seconds and so knows no rate of it; harms where lines tell little.
+        Its part by lines of all answers to this node, which begins at its part of all allowances. Guards
+        rule 4 and the floors where a node meets a server once in seconds, and a node just started against
+        refusing what it has no answers to count for; harms where lines or allowances tell little.
         """
-        seen = 1.0 - math.exp((self.began - now) / FADE_MS)  # the rate began at nought
-        rate = self.taken.get(now) / seen if seen else 0.0
+        count, span = self.usual
+        span += 1.0 - math.exp((self.began - now) / FADE_MS)  # the rate began at nought
+        rate = (count + self.taken.get(now)) / span if span else 0.0
         return max(rate * core.size() / max(self.lines, 1.0), 1.0 / FADE_MS)  # at least a trickle
 
     def _detect(self, now: float, core: Core) -> None:
@@ -280,8 +283,7 @@
             verdict = 1 - (wait < MARGIN * self.limits[0] and holds(due, per_limit, x, self.limits, MARGIN))
         core.verdicts.append(verdict)
         if len(core.verdicts) == self.streak:
-            low, high = min(core.verdicts), max(core.verdicts)
-            core.level = low if low > core.level else min(core.level, high)
+            core.level = max(min(core.verdicts), min(core.level, max(core.verdicts)))
         self._step(now, core)
 
     # -- gate: gapping above floors, ranks by U -------------------------------------------------
@@ -483,8 +485,8 @@
         if core and event.report:
             self._hear(now, core)
         if core and (pending := core.pending.pop(event.call, None)):
-            turned_away = event.status == Status.FULL and event.note & 15 == PROCESSOR_FULL
-            missed = event.status == Status.TIMEOUT and pending[1] >= core.passed
+            turned_away = event.status == api.Status.FULL and event.note & 15 == PROCESSOR_FULL
+            missed = event.status == api.Status.TIMEOUT and pending[1] >= core.passed
             if missed and core.heard <= pending[1]:
                 core.lost = self.awake
             if turned_away or missed:
@@ -496,32 +498,30 @@
                 self._step(now, core)
             else:
                 self._detect(now, core)
-                if event.status == Status.FULL:
+                if event.status == api.Status.FULL:
                     # All nodes rush to the few lines told free; one turned away knows better till next told.
                     core.idle, core.told = 0.0, now
         if (call := self.calls.get(event.call)) is None or event.final:
             return self._forget(event.call)
         entry, call.core = call.core and call.core.entry, None
-        if entry and event.status not in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT) and not call.ran:
+        if entry and event.status not in api.NEVER_RAN and not call.ran:
             call.ran = (entry, now - event.delay)
-        fault = event.status == Status.ERROR and event.note != LINES_BUSY
+        fault = event.status == api.Status.ERROR and event.note != LINES_BUSY
         if core and fault and event.server != call.faulted:  # once a call: it may fail wherever it goes
             call.faulted = event.server
             core.answered(True)
-        last = call.attempts >= call.cap - 1
-        if core is None or not fault or core.faults < FAULTY or last:
+        if core is None or not fault or core.faults < FAULTY or call.attempts >= call.cap - 1:
             # A server that fails many calls may yet take this one, and the last try is another's; else a
             # fault may be the call's own doing, and repeats would only cost work.
             call.tried.append(event.server)
-        barred = event.status in (Status.TIMEOUT, Status.RESET, Status.CANCELLED)  # rule 5
-        wait = self.set.contract.clear_wait * barred
-        call.not_before = now + wait
+        call.not_before = now + self.set.contract.clear_wait * (event.status in api.BARRING)  # rule 5
+        left = call.over_by - call.not_before
         if event.note == LINES_BUSY:
             self._busy(now, call.caller[0])
             self._give_up(now, call)
-        elif event.status == Status.OK or call.over_by - call.not_before <= self.set.contract.answer_slack:
+        elif event.status == api.Status.OK or left <= self.set.contract.answer_slack:
             self._give_up(now, call)
-        elif wait:
+        elif call.not_before > now:
             self.out.append(api.WakeAt(call.ident, call.not_before))
         else:
             self._place(now, call)
@@ -562,5 +562,5 @@
 
     def _count(self) -> None:
         """Lines of the servers that take new calls: a draining one's share of the work is the others' now."""
-        ready = (one for one in self.cores.values() if one.entry.availability == api.Availability.READY)
-        self.lines = sum(one.size() for one in ready)
+        ready = api.Availability.READY
+        self.lines = sum(one.size() for one in self.cores.values() if one.entry.availability == ready)
