Order versions of a site's rules by a council whose leases bound how long two of them meet

Nothing of it is wired to the daemon yet, and the platform's path loads none of it (test_layers).

Design: docs/design/agree.md, with the options not taken (pysyncobj: it can't run on the virtual clock, so the code that serves could not be played against faults; a log as in Raft; gossip; acting on the newest known when a lease ends).

Records torn at each byte, with each byte changed, EIO and ENOSPC at write, fsync and rename.

--- /dev/null
+++ b/seamlb/agree/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of a site's rules that its agents agree on."""
--- a/seamlb/rollout/command.py
+++ b/seamlb/rollout/command.py
@@ -10,11 +10,11 @@
 
 import click
 
-from seamlb.rollout import record
 from seamlb.rollout.change import OVER, Place
 from seamlb.rollout.conductor import WISHES, Conductor, Folder, Refused
 from seamlb.rollout.keeper import Keeper, load_keeper
 from seamlb.rollout.plan import Plan, PlanError, load_plan
+from seamlb.store import record
 
 STATE = click.option("--state", type=click.Path(path_type=Path, file_okay=False), required=True,
                      help="The folder where the change's state is kept.")
--- a/seamlb/rollout/conductor.py
+++ b/seamlb/rollout/conductor.py
@@ -19,10 +19,10 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 
 from seamlb import log
-from seamlb.rollout import record
 from seamlb.rollout.change import OVER, Course, Order, Place, View
 from seamlb.rollout.figures import Sample
 from seamlb.rollout.plan import Revision
+from seamlb.store import record
 
 STEP = 0.5  # seconds between two steps
 ASK_WITHIN = 1.0  # seconds for a keeper's answer
--- a/seamlb/rollout/keeper.py
+++ b/seamlb/rollout/keeper.py
@@ -25,10 +25,10 @@
 from seamlb.fronts.management import Calls, text
 from seamlb.net.connection import family, split_address
 from seamlb.protocol.http import Request
-from seamlb.rollout import record
 from seamlb.rollout.fence import Fence
 from seamlb.rollout.keeping import DRAIN_MOST, Action, Keeping, Start, Terminate
 from seamlb.rollout.plan import PlanError, Revision
+from seamlb.store import record
 
 TICK = 0.1  # seconds between two looks at the processes
 ASK_EVERY = 0.5  # seconds between two questions to the process that serves
--- a/seamlb/rollout/record.py
+++ b/seamlb/store/record.py
@@ -8,6 +8,8 @@
 from hashlib import blake2b
 from pathlib import Path
 
+from seamlb.store.files import DISK, Files
+
 MAGIC = b"seamlb-record 1 "
 
 
@@ -26,31 +28,23 @@
     return descriptor
 
 
-def write(path: Path, body: bytes) -> None:
+def write(path: Path, body: bytes, files: Files = DISK) -> None:
     """Replace a record. OSError: it is not known which of the two is there; a torn one never is."""
     beside = path.with_name(f".{path.name}.{os.getpid()}")
     digest = blake2b(body, digest_size=16).hexdigest().encode()
     try:
-        with open(beside, "wb") as file:
-            file.write(MAGIC + digest + b" %d\n" % len(body) + body)
-            file.flush()
-            os.fsync(file.fileno())  # an error here means lost, whatever a second try says: it is told, not repeated
-        os.replace(beside, path)
+        files.write(beside, MAGIC + digest + b" %d\n" % len(body) + body)
+        files.replace(beside, path)
     except OSError:
         with contextlib.suppress(OSError):
             beside.unlink()
         raise
-    folder = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
 
 
-def read(path: Path) -> bytes | None:
+def read(path: Path, files: Files = DISK) -> bytes | None:
     """The body; None if there is no file, RecordError if it is torn or lies."""
     try:
-        data = path.read_bytes()
+        data = files.read(path)
     except FileNotFoundError:
         return None
     except OSError as error:
--- /dev/null
+++ b/tests/faults.py
@@ -0,0 +1,41 @@
+"""Crashes, stalls, partitions and proposals at random, for a fleet on a virtual clock."""
+
+import random
+from collections.abc import Callable
+
+from seamlb.agree.charter import Charter
+from tests.council import LEASE, World, changed
+
+
+def newest(world: World) -> Charter:
+    return max((one.member.newest for one in world.nodes.values() if one.member), key=lambda one: one.number)
+
+
+def parted(side: set[str], one_way: bool) -> Callable[[str, str], bool]:
+    """Who is in `side` does not hear, or is not heard by, who is not."""
+    return lambda a, b: (a in side) > (b in side) if one_way else (a in side) != (b in side)
+
+
+def faults(world: World, rng: random.Random, seconds: float) -> None:
+    """Crashes, stalls, partitions and proposals, all at random."""
+    names = list(world.nodes)
+    end = world.now + seconds
+    while world.now < end:
+        world.run(rng.uniform(0.1, LEASE))
+        one = rng.choice(names)
+        match rng.randrange(6):
+            case 0:
+                world.crash(one)
+            case 1:
+                for name in names:
+                    if not world.nodes[name].up:
+                        world.restart(name)
+            case 2:
+                world.stall(one, rng.choice([0.5, LEASE, 10.0]))
+            case 3:
+                world.cut = parted(set(rng.sample(names, len(names) // 2)), rng.random() < 0.3)
+            case 4:
+                world.cut = lambda a, b: False
+            case _:
+                proposer = rng.choice(world.first.council)
+                world.propose(proposer, changed(newest(world), rng))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,8 +20,9 @@
     "emulator": {"__version__", "api", "log", "planning", "plugins", "protocol", "routing"},
     "plugins": {"api", "log", "routing"},
     "zones": {"routing"},
+    "store": set(), "agree": set(),
     "members": {"admin", "log", "net"},
-    "rollout": {"__version__", "fronts", "log", "net", "protocol"},
+    "rollout": {"__version__", "fronts", "log", "net", "protocol", "store"},
     "hook": {"log"},
     "config": {"api", "fronts", "members", "membership", "net", "planning", "plugins", "protocol"},
     "daemon": {"__version__", "config", "desks", "fronts", "hook", "lifecycle", "members", "membership", "planning",
@@ -57,7 +58,7 @@
 
 
 @pytest.mark.parametrize("name", [
-    "api.py", "control.py", "drill.py", "lifecycle.py", "planning", "protocol", "routing", "zones",
+    "agree", "api.py", "control.py", "drill.py", "lifecycle.py", "planning", "protocol", "routing", "store", "zones",
     *(f"rollout/{one}.py" for one in ("change", "fence", "figures", "judge", "keeping", "plan")),
     *(f"members/{one}.py" for one in ("shares", "swim", "table", "wire"))])
 def test_no_network_code_where_none_belongs(name: str) -> None:
@@ -76,5 +77,5 @@
     pinned = {line.partition("==")[0] for line in (ROOT.parent / "requirements.txt").read_text().split()}
     assert pinned == {"tornado", "orjson", "click"}
     assert {name for name in loaded if not name.startswith("_")} <= pinned | {"seamlb", "site", "sitecustomize"}
-    extras = ("planning", "plugins", "emulator", "rollout", "zones")
+    extras = ("agree", "planning", "plugins", "emulator", "rollout", "store", "zones")
     assert not [name for name in extras if f"seamlb.{name}" in modules]
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -16,7 +16,6 @@
 from hypothesis import strategies as st
 
 from seamlb.cli import main
-from seamlb.rollout import record
 from seamlb.rollout.change import Course, Place, View
 from seamlb.rollout.conductor import Folder
 from seamlb.rollout.fence import LEASE, Fence
@@ -24,6 +23,7 @@
 from seamlb.rollout.judge import Count, dispersion, evidence, worse
 from seamlb.rollout.keeping import BACK_OFF, CALM, DRAIN_MOST, READY_WITHIN, Keeping, Kill, Start, Terminate
 from seamlb.rollout.plan import Agent, Plan, Revision, Stage
+from seamlb.store import record
 
 OLD, NEW = (msgspec.structs.replace(Revision(name, ("run", name), "{}"), digest="0") for name in ("old", "new"))
 
