--- a/tests/test_relations.py
+++ b/tests/test_relations.py
@@ -54,10 +54,10 @@
 
 
 @pytest.mark.parametrize(("kind", "value"), [
-    ("limit", -1), ("limit", True), ("limit", "5"), ("limit", float("inf")), ("held", ["b", "a"]),
-    ("held", ["a", "a"]), ("share", {"whole": 1.0, "parts": {"a": 0.6, "b": 0.6}}), ("share", {"parts": {}}), ("owner", 3),
-    ("left", {"zones": ["x"], "left": ["x"]}), ("left", {"zones": ["x"], "left": ["y"]}),
-    ("numbers", {"x": 1, "y": 1}), ("new", 1)])
+    ("limit", -1), ("limit", True), ("limit", "5"), ("limit", float("inf")),
+    ("held", ["b", "a"]), ("held", ["a", "a"]), ("owner", 3), ("new", 1), ("numbers", {"x": 1, "y": 1}),
+    ("share", {"whole": 1.0, "parts": {"a": 0.6, "b": 0.6}}), ("share", {"parts": {}}),
+    ("left", {"zones": ["x"], "left": ["x"]}), ("left", {"zones": ["x"], "left": ["y"]})])
 def test_a_value_that_its_kind_cannot_have_is_refused(kind: str, value: Any) -> None:
     with pytest.raises(WrongCharter, match="^rule: "):
         Charter(1, "", ("a",), ("a",), {"rule": Field(kind, value, value)})
