--- a/seamlb/agree/council.py
+++ b/seamlb/agree/council.py
@@ -16,7 +16,8 @@
 
 Out = list[tuple[str, Note]]
 TELL_EVERY = 0.2  # part of a lease between two words to the other members
-VOTE = 0.1  # part of a lease after which a vote that came to nothing is begun anew, with a little chance
+VOTE = 0.1  # part of a lease after which a vote that came to nothing is begun anew, with a little chance,
+LONGER = 8.0  # and twice as long each time, so that four messages get through however slow they are; to so many times
 
 
 @dataclass(slots=True)
@@ -26,6 +27,7 @@
     ballot: Ballot
     mine: Charter | None  # what we want; None: only to end what another left open
     again_at: float
+    patience: float
     promises: dict[str, tuple[Ballot, bytes]] = field(default_factory=dict)
     putting: Charter | None = None  # what we must put to the vote
     accepted: set[str] = field(default_factory=set)
@@ -57,9 +59,8 @@
 
     def in_force(self) -> bool:
         """Are all leases on what came before over, as majorities of both councils say? (A2)"""
-        return all(
-            sum(self.cleared.get(one, 0) >= self.newest.number for one in charter.council) >= charter.majority
-            for charter in (self.kept.before, self.newest))
+        over = {one for one, number in self.cleared.items() if number >= self.newest.number}
+        return all(len(over & set(one.council)) >= one.majority for one in (self.kept.before, self.newest))
 
     def _keep(self, **change: object) -> bool:
         """Put a change on the disk; False if the disk failed, and then nothing of it may be told. (A1)"""
@@ -125,7 +126,8 @@
             self.vote = None
             return []
         ballot = (max(self.kept.promised[0], self.vote.ballot[0] if self.vote else 0) + 1, self.name)
-        self.vote = Vote(ballot, mine, now + self.lease * VOTE * (1 + self.rng.random()))
+        patience = min(2.0 * self.vote.patience, LONGER) if self.vote else 1.0
+        self.vote = Vote(ballot, mine, now + self.lease * VOTE * patience * (1 + self.rng.random()), patience)
         note = self._note(Kind.PREPARE, slot=self.newest.number + 1, ballot=ballot)
         return [(one, note) for one in self.newest.council]
 
@@ -162,12 +164,9 @@
         vote.promises[note.sender] = note.voted, note.body
         if len(vote.promises.keys() & set(self.newest.council)) < self.newest.majority:
             return []
-        last = max(vote.promises.values())
-        if last[1]:  # it may have been chosen already: nothing else may be
-            vote.putting = decode(last[1])
-        elif vote.mine:
-            vote.putting = vote.mine
-        else:
+        last = max(vote.promises.values())[1]  # it may have been chosen already: nothing else may be
+        vote.putting = decode(last) if last else vote.mine
+        if vote.putting is None:
             self.vote = None
             return []
         put = self._note(Kind.ACCEPT, slot=note.slot, ballot=vote.ballot, body=vote.putting.body)
