Begin an agent's questions for leases above those of the process before

An answer to a question of the process before, late in the network, could match the new process's question of the same number and give a lease counted from the new question, which no member knows of (`Holder.received`). The number is asked for now, and a test has the case.

--- a/seamlb/agree/holder.py
+++ b/seamlb/agree/holder.py
@@ -27,16 +27,20 @@
 
 @dataclass(slots=True)
 class Holder:
-    """One agent; `newest` and `before` may be what a restart found on the disk, as they give no right to act."""
+    """One agent; `newest` and `before` may be what a restart found on the disk, as they give no right to act.
+
+    `ask` begins above all that the process before can have reached (Unix microseconds do): an answer to one of its
+    questions would else give a lease that nobody knows of.
+    """
 
     name: str
     lease: float  # seconds
     newest: Charter
     before: Charter
     now: float
+    ask: int
     until: float = 0.0  # end of the lease, by our clock
     cleared: int = 0  # the newest charter that is known to be in force
-    ask: int = 0
     asked_at: float = 0.0
     granted: frozenset[str] = frozenset()
     next_ask: float = 0.0
--- a/tests/council.py
+++ b/tests/council.py
@@ -72,7 +72,7 @@
         self.nodes = {name: self._node(name) for name in self.first.agents}
 
     def _node(self, name: str) -> Node:
-        node = Node(name, 1.0 + self.rng.uniform(-0.009, 0.009), Holder(name, LEASE, self.first, self.first, 0.0))
+        node = Node(name, 1.0 + self.rng.uniform(-0.009, 0.009), Holder(name, LEASE, self.first, self.first, 0.0, 0))
         if name in self.first.council:
             node.disk = Kept(self.first, self.first).encode()
             self._wake(node)
@@ -86,8 +86,8 @@
         now = self.now * node.rate
         kept = read_kept(node.disk) if node.disk else None
         first = kept.newest if kept else self.first
-        node.holder = Holder(node.name, LEASE, first, kept.before if kept else self.first, now)
-        node.holder.ask = int(self.now * 1000) * 1000  # questions of the process before are not taken for ours
+        asked = int(self.now * 1_000_000)
+        node.holder = Holder(node.name, LEASE, first, kept.before if kept else self.first, now, asked)
         if kept:
             node.member = Member(node.name, int(self.now * 1000) + 1, LEASE, kept, now, save, self.rng)
 
--- a/tests/test_agree.py
+++ b/tests/test_agree.py
@@ -5,8 +5,9 @@
 import pytest
 
 from seamlb.agree.charter import Charter
-from seamlb.agree.holder import Stance
-from tests.council import LEASE, World
+from seamlb.agree.holder import Holder, Stance
+from seamlb.agree.notes import Kind, Note
+from tests.council import LEASE, World, founding
 from tests.faults import faults, newest
 
 
@@ -75,6 +76,19 @@
     assert world.in_force(2) == 4 and not world.broken
 
 
+def test_an_answer_to_the_process_before_gives_no_lease() -> None:
+    first = founding(3, 3)
+    old, new = (Holder("a000", LEASE, first, first, at, int(at * 1_000_000)) for at in (1.0, 9.0))
+    late = [Note(Kind.GRANT, member, slot=1, ask=note.ask, cleared=1) for member, note in old.tick(1.0)]
+    asked = new.tick(9.0)
+    for note in late:
+        new.received(9.1, note)
+    assert new.stance(9.1) is Stance.ALONE
+    for member, question in asked[:2]:
+        new.received(9.2, Note(Kind.GRANT, member, slot=1, ask=question.ask, cleared=1))
+    assert new.stance(9.2) is Stance.PLAIN and new.stance(9.0 + LEASE) is Stance.ALONE  # counted from the question
+
+
 def test_council_members_are_replaced_one_at_a_time() -> None:
     world = settled()
     now = newest(world)
