Give a saved plan the one way to the disk that records and votes have

Before, planning/files.py, store/record.py each wrote beside, synced and renamed on their own; the plan did not sync its folder, so a plan that was told as saved could be gone after a power cut. Files.put does it once: written beside, synced, renamed, the folder synced. The layers test lets planning use store. Behaviour of records is unchanged (test_store.py).

--- a/seamlb/planning/files.py
+++ b/seamlb/planning/files.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import math
-import os
 import tomllib
 from collections import defaultdict
 from pathlib import Path
@@ -27,6 +26,7 @@
     check_problem,
     weights,
 )
+from seamlb.store.files import DISK
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 Whole = Annotated[int, msgspec.Meta(ge=0)]
@@ -288,16 +288,9 @@
 
 def save_plan(path: str | Path, problem: Problem, plan: Plan) -> None:
     """Write a plan whole or not at all: a reader never sees half of one."""
-    path = Path(path)
-    aside = path.with_name(f".{path.name}.{os.getpid()}")
     try:
-        with aside.open("w") as file:
-            file.write(plan_text(problem, plan))
-            file.flush()
-            os.fsync(file.fileno())
-        aside.replace(path)
+        DISK.put(Path(path), plan_text(problem, plan).encode())
     except OSError as error:
-        aside.unlink(missing_ok=True)
         raise PlanningError(f"{path}: {error.strerror}") from None
 
 
--- a/seamlb/store/files.py
+++ b/seamlb/store/files.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from pathlib import Path
 
@@ -25,6 +26,17 @@
         finally:
             os.close(folder)
 
+    def put(self, path: Path, data: bytes) -> None:
+        """Replace a file, whole or not at all. OSError: it is not known which of the two is there."""
+        beside = path.with_name(f".{path.name}.{os.getpid()}")
+        try:
+            self.write(beside, data)
+            self.replace(beside, path)
+        except OSError:
+            with contextlib.suppress(OSError):
+                beside.unlink()
+            raise
+
     def read(self, path: Path) -> bytes:
         return path.read_bytes()
 
--- a/seamlb/store/record.py
+++ b/seamlb/store/record.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import fcntl
 import os
 from hashlib import blake2b
@@ -30,15 +29,8 @@
 
 def write(path: Path, body: bytes, files: Files = DISK) -> None:
     """Replace a record. OSError: it is not known which of the two is there; a torn one never is."""
-    beside = path.with_name(f".{path.name}.{os.getpid()}")
     digest = blake2b(body, digest_size=16).hexdigest().encode()
-    try:
-        files.write(beside, MAGIC + digest + b" %d\n" % len(body) + body)
-        files.replace(beside, path)
-    except OSError:
-        with contextlib.suppress(OSError):
-            beside.unlink()
-        raise
+    files.put(path, MAGIC + digest + b" %d\n" % len(body) + body)
 
 
 def read(path: Path, files: Files = DISK) -> bytes | None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,7 +16,7 @@
     "sip": {"log", "net", "protocol"},
     "lifecycle": set(), "admin": {"net"},
     "fronts": WIRES | {"api", "lifecycle"}, "desks": WIRES, "membership": WIRES,
-    "planning": {"api", "log"},
+    "planning": {"api", "log", "store"},
     "emulator": {"__version__", "api", "log", "planning", "plugins", "protocol", "routing"},
     "plugins": {"api", "log", "routing"},
     "zones": {"routing"},
