Wire agreed versions to sockets, disk and the module's inputs, off unless [agree] is there

What was there was pure: charters, council, leases, holder. `/admin/agree` shows it, `POST /admin/agree/propose` changes rules, the council or the agents.

The agent had an `if self.zones` in six places; a second subsystem would have doubled them. `routing/seam.py` is one typed seam: parts in an order, looked at before anything is done, each seeing desks as those before it have them. Zones are the first part, agreed rules the second; on the platform there is none.

Proven by tests/test_agree_daemon.py: five processes with an injector between each and each member; kill -9 of members, SIGSTOP, drop and one-way links, a majority lost, a member replaced, a record torn and one put back, a disk that fails and one that hangs. An auditor reads stances from the logs (each with the moment it began) and sums the seconds in which one acts beyond what another has in force: 0 in all, above 0 with a process whose lease never ends.

--- /dev/null
+++ b/seamlb/agree/acting.py
@@ -0,0 +1,102 @@
+"""What the rules that are acted on now make of one agent: settings, open calls, desks that get nothing. Pure.
+
+Rules with an effect, by their names:
+
+    open            limit   calls that an agent has open at most
+    tenant.NAME     share   calls a second of a tenant that each agent takes as within its allowance
+    desks           held    desks that get no new calls
+    zones           left    zones whose desks get no new calls
+
+All others are shown and carried out by nobody here.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import replace
+
+from seamlb.agree.charter import Charter
+from seamlb.agree.holder import Holder, Stance
+from seamlb.agree.relations import Value
+from seamlb.api import Availability, Settings
+from seamlb.routing.model import Desk
+from seamlb.routing.seam import Part
+
+TENANT = "tenant."
+MEANT = {"open": "limit", "desks": "held", "zones": "left"}
+
+
+def misnamed(charter: Charter) -> str:
+    """A rule whose name has an effect and whose kind can't have it; empty if there is none."""
+    for name, one in charter.fields.items():
+        wanted = "share" if name.startswith(TENANT) else MEANT.get(name, one.kind)
+        if one.kind != wanted:
+            return f"{name}: of kind {one.kind!r}, not {wanted!r}"
+    return ""
+
+
+class Acting(Part):
+    """One agent's rules as its holder has them; `clock` gives seconds that also count while the machine sleeps."""
+
+    def __init__(self, holder: Holder, zones: Sequence[str], clock: Callable[[], float]) -> None:
+        self.holder, self.zones, self.clock = holder, tuple(zones), clock
+        self.told: dict[str, Desk] = {}  # as the list, or who stands before us, has them
+        self.shown: dict[str, Availability] = {}  # as the module was told last
+        self.as_of: tuple[int, Stance] | None = None
+        self.values: Mapping[str, Value] = {}
+        self.news: list[tuple[Stance, Charter, float]] = []  # stances taken: since when
+
+    def look(self) -> bool:
+        """Whoever is about to act asks; has what it may act on changed since the last time?"""
+        now = self.clock()
+        stance = self.holder.stance(now)
+        if self.as_of == (self.holder.newest.number, stance):
+            return False
+        self.as_of = self.holder.newest.number, stance
+        self.values = self.holder.values(now)
+        # A lease that has ended did so at its time, and nothing was done since: whoever acts looks first.
+        since = min(now, self.holder.until or now) if stance is Stance.ALONE else now
+        self.news.append((stance, self.holder.newest, since))
+        return True
+
+    @property
+    def open(self) -> float:
+        """Calls that may be open."""
+        return float(self.values.get("open", math.inf))
+
+    def settings(self, settings: Settings) -> Settings:
+        """The settings with this agent's parts of allowances: the module divides them by the instances."""
+        allowances = list(settings.allowances)
+        for name, value in self.values.items():
+            if (number := settings.tenants.get(name.removeprefix(TENANT))) is not None and name.startswith(TENANT):
+                allowances[number] = value["parts"].get(self.holder.name, 0.0) * settings.instances
+        return replace(settings, allowances=tuple(allowances))
+
+    def listed(self, now: float, unix_ms: float, desks: Iterable[Desk], whole: bool) -> list[Desk]:
+        """News of the list, as the module is to have them."""
+        if whole:
+            self.told, self.shown = {}, {}
+        found = []
+        for desk in desks:
+            if desk.availability == Availability.GONE:
+                self.told.pop(desk.ident, None)
+                self.shown.pop(desk.ident, None)
+                found.append(desk)
+            else:
+                self.told[desk.ident] = desk
+                found.append(self._seen(desk))
+        return found
+
+    def changed(self, now: float, unix_ms: float) -> list[Desk]:
+        """Desks of which the module has to be told something else now."""
+        had = dict(self.shown)
+        return [seen for desk in self.told.values() if (seen := self._seen(desk)).availability != had[desk.ident]]
+
+    def _seen(self, desk: Desk) -> Desk:
+        left = self.values.get("zones", {}).get("left", ())
+        held = desk.ident in self.values.get("desks", ()) or (
+            0 <= desk.zone < len(self.zones) and self.zones[desk.zone] in left)
+        shown = Availability.DRAINING if held else Availability(desk.availability)
+        self.shown[desk.ident] = shown
+        return replace(desk, availability=shown)
--- a/seamlb/agree/charter.py
+++ b/seamlb/agree/charter.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import cached_property
 from hashlib import blake2b
@@ -71,10 +71,17 @@
 
     def next(self, **values: Value) -> Charter:
         """The charter that follows with other values, of fields that there are."""
-        fields = {name: Field(one.kind, values.pop(name, one.value), one.alone) for name, one in self.fields.items()}
-        if values:
-            raise WrongCharter(f"{min(values)}: unknown field")
-        return Charter(self.number + 1, self.digest, self.council, self.agents, fields)
+        return self.altered(values)
+
+    def altered(
+        self, values: Mapping[str, Value], council: Sequence[str] = (), agents: Sequence[str] = ()
+    ) -> Charter:
+        """The charter that follows, with other values of fields that there are, another council or other agents."""
+        if unknown := sorted(values.keys() - self.fields.keys()):
+            raise WrongCharter(f"{unknown[0]}: unknown field")
+        fields = {name: Field(one.kind, values.get(name, one.value), one.alone) for name, one in self.fields.items()}
+        return Charter(self.number + 1, self.digest, tuple(sorted(council)) or self.council,
+                       tuple(sorted(agents)) or self.agents, fields)
 
     def follows(self, old: Charter) -> str:
         """Why this one can't come after `old`; empty if it can."""
--- a/seamlb/agree/holder.py
+++ b/seamlb/agree/holder.py
@@ -49,6 +49,10 @@
     def __post_init__(self) -> None:
         self._know(self.newest, self.before)
 
+    def restore(self, newest: Charter, before: Charter) -> None:
+        """What a restart found on the disk: no right to act, but where to begin."""
+        self._know(newest, before)
+
     def _know(self, newest: Charter, before: Charter) -> None:
         self.newest, self.before, self.apart = newest, before, bool(newest.contradicts(before))
 
--- /dev/null
+++ b/seamlb/agree/table.py
@@ -0,0 +1,78 @@
+"""What an operator writes of agreed versions: the table `[agree]` of the plug-ins' file, and the founding charter."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+LEASE = 0.5  # part of `within` that a lease lasts: the other half is for votes and words that are lost
+LEAST, MOST = 1.0, 60.0  # seconds of `within`
+
+
+@dataclass(slots=True, frozen=True)
+class AgreeConfig:
+    """The table; files are relative to the file that has it."""
+
+    listen: str  # where a member of the council is reached: address and port; others need none and may leave it empty
+    founding: str  # the file of the first charter, the same at all agents
+    state: str  # a folder of this agent alone
+    keys: str  # a file of keys as [members] has it
+    council: tuple[str, ...]  # NAME=HOST:PORT of all that are or may become members
+    within: float = 5.0  # seconds that two agents may act on rules that contradict, at most
+
+
+@dataclass(slots=True, frozen=True)
+class Agreed:
+    """The table, read and checked; `first` is the founding charter's bytes."""
+
+    listen: str
+    state: Path
+    first: bytes
+    taken: Mapping[int, bytes]
+    send: int
+    council: Mapping[str, str]  # address by name
+    lease: float
+
+
+def founding(path: Path) -> bytes:
+    """The first charter of a TOML file: `council`, `agents` and a table `[rules.NAME]` each; ValueError, OSError."""
+    from seamlb.agree.acting import misnamed
+    from seamlb.agree.charter import Charter, Field
+
+    raw = tomllib.loads(path.read_text())
+    if unknown := sorted(raw.keys() - {"council", "agents", "rules"}):
+        raise ValueError(f"agree.founding: {path}: unknown key {unknown[0]!r}")
+    rules = {}
+    for name, one in raw.get("rules", {}).items():
+        if not isinstance(one, dict) or set(one) != {"kind", "value", "alone"}:
+            raise ValueError(f"agree.founding: {path}: rules.{name}: not kind, value and alone")
+        rules[name] = Field(one["kind"], one["value"], one["alone"])
+    try:
+        found = Charter(1, "", tuple(raw.get("council", ())), tuple(raw.get("agents", ())), rules)
+    except ValueError as error:
+        raise ValueError(f"agree.founding: {path}: {error}") from None
+    if why := misnamed(found):
+        raise ValueError(f"agree.founding: {path}: rules.{why}")
+    return found.body
+
+
+def read(table: AgreeConfig, folder: Path, name: str, taken: Mapping[int, bytes], send: int) -> Agreed:
+    """Check a table; ValueError with the key and the reason."""
+    from seamlb.agree.charter import decode
+
+    first = founding(folder / table.founding)
+    known = decode(first)
+    addresses = {one.partition("=")[0]: one.partition("=")[2] for one in table.council}
+    if lost := sorted(set(known.council) - addresses.keys()):
+        raise ValueError(f"agree.council: no address of {lost[0]!r}, a member of the founding council")
+    if name in addresses and not table.listen:
+        raise ValueError("agree.listen: missing, and this agent is or may become a member of the council")
+    if not LEAST <= table.within <= MOST:
+        raise ValueError(f"agree.within: not {LEAST:g} to {MOST:g} seconds: {table.within!r}")
+    if len(name.encode()) > 255:
+        raise ValueError("agree: this agent's name is over 255 bytes")
+    if not (folder / table.state).is_dir():
+        raise ValueError(f"agree.state: no folder {str(folder / table.state)!r}")
+    return Agreed(table.listen, folder / table.state, first, taken, send, addresses, LEASE * table.within)
--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -21,6 +21,7 @@
 from seamlb.protocol.notices import parse_notices
 
 if TYPE_CHECKING:
+    from seamlb.agree.table import Agreed
     from seamlb.planning.follow import Followed
     from seamlb.plugins.loading import PluginsTable
 
@@ -182,6 +183,7 @@
     members: MembersConfig | None = None
     member_keys: MemberKeys | None = None
     zones: ZonesConfig | None = None
+    agree: Agreed | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -198,7 +200,7 @@
     """Read and check a TOML file of plug-ins against the classes and tenants of the configuration."""
     try:
         raw = tomllib.loads(Path(path).read_text())
-        unknown = raw.keys() - {"sip", "desks", "consul", "hook", "plan", "plugins", "members", "zones"}
+        unknown = raw.keys() - {"sip", "desks", "consul", "hook", "plan", "plugins", "members", "zones", "agree"}
         if unknown:
             raise ValueError(f"unknown table {min(unknown)}")
         sip, desks = _table(raw, "sip", SipFrontConfig), _table(raw, "desks", SipDesksConfig)
@@ -212,12 +214,13 @@
         keys = _members(members, Path(path).parent) if members else None
         zones = _table(raw, "zones", ZonesConfig)
         _check_zones(config, zones, members)
+        agreed = _agreed(raw, Path(path).parent, config) if "agree" in raw else None
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except (ValueError, TypeError, AttributeError) as error:  # TOML errors are ValueErrors
         raise ConfigError(f"{path}: {error}".replace("\n", " ")) from None
     file = str(Path(path).parent / hook) if hook else ""
-    return Plugins(sip, desks, consul, file, followed, local, members, keys, zones)
+    return Plugins(sip, desks, consul, file, followed, local, members, keys, zones, agreed)
 
 
 def _check_zones(config: Config, table: ZonesConfig | None, members: MembersConfig | None) -> None:
@@ -246,6 +249,22 @@
     return load_keys(folder / table.keys)
 
 
+def _agreed(raw: Mapping[str, Any], folder: Path, config: Config) -> Agreed | None:
+    """The table with the keys and the founding charter that it names, checked; ValueError."""
+    from seamlb.agree.table import AgreeConfig, read
+
+    if (table := _table(raw, "agree", AgreeConfig)) is None:
+        return None
+    for key, address in (("listen", table.listen), *(("council", one.partition("=")[2]) for one in table.council)):
+        if address:
+            try:
+                split_address(address)
+            except ValueError as error:
+                raise ValueError(f"agree.{key}: {error}") from None
+    keys = load_keys(folder / table.keys, "agree")
+    return read(table, folder, config.name, keys.taken, keys.send)
+
+
 def _local(raw: Any, folder: Path) -> PluginsTable:
     """The plug-ins' table, its plug-ins loaded once to see that they can be used; else ValueError."""
     from seamlb.plugins.loading import LoadError, load_all, settings_of
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -27,6 +27,7 @@
 from seamlb.sip.endpoint import SipEndpoint
 
 if TYPE_CHECKING:
+    from seamlb.agree.link import AgreeLink
     from seamlb.members.link import MembersLink
     from seamlb.planning.follow import Followed, Guide
     from seamlb.plugins.control import ControlSocket
@@ -118,10 +119,13 @@
         if self.fleet:
             more["/admin/members"] = self.fleet.table
         self.zones = self._zones()
-        orders: dict[str, Callable[[str], bool]] = {}
+        orders: dict[str, Callable[[str], str]] = {}
         if zones := self.zones:
             more["/admin/zones"] = lambda: zones.table(clock() / 1000.0)
             orders["/admin/zones/force"] = self._force_zone
+        if versions := self._agreed():
+            more["/admin/agree"], orders["/admin/agree/propose"] = versions.table, versions.propose
+        self.versions = versions
         self.management = ManagementFront(config.management, self.lifecycle, self.figures, more, orders)
         self.sip: SipFront | None = None
         if plugins.sip:
@@ -167,15 +171,25 @@
 
         regions = [frozenset(config.zones.index(name) for name in one.split("+")) for one in table.regions]
         stall = min(kind.on_time for kind in config.settings.classes) / 1000.0
-        self.agent.zones = found = Overlay(
-            config.zones, config.settings.instances, table.bears, stall, regions,
-            table.out, table.ramp)
+        found = Overlay(config.zones, config.settings.instances, table.bears, stall, regions, table.out, table.ramp)
+        self.agent.seam.parts.append(found)
         return found
 
-    def _force_zone(self, asked: str) -> bool:
-        """`NAME out`, `NAME in` or `NAME auto`."""
+    def _agreed(self) -> AgreeLink | None:
+        """Agreed versions, where they are switched on; they come behind zones."""
+        if self.plugins.agree is None:
+            return None
+        from seamlb.agree.link import AgreeLink
+
+        found = AgreeLink(self.plugins.agree, self.config.name, self.config.zones, self.agent.look)
+        self.agent.seam.parts.append(found.acting)
+        self.agent.look()
+        return found
+
+    def _force_zone(self, asked: str) -> str:
+        """`NAME out`, `NAME in` or `NAME auto`; why not, or empty."""
         name, _, state = asked.partition(" ")
-        return bool(self.zones and self.zones.force(name, state))
+        return "" if self.zones and self.zones.force(name, state) else "no such zone or state"
 
     def _leave_zones(self) -> None:
         """Tell the others what we see, take what they do, and give the module what follows."""
@@ -194,7 +208,7 @@
         for name, facts in self.zones.zones.said:
             log.event(name, **facts | {"zone": self.config.zones[int(str(facts["zone"]))]})
         self.zones.zones.said.clear()
-        self.agent.zoned()
+        self.agent.desks_changed()
 
     def _measures(self) -> Measures:
         """Ends and times by class, for those who compare two versions."""
@@ -285,6 +299,8 @@
             if not await self.fleet.start():
                 log.event("peers_wait", address=self.fleet.config.udp)
             waiting.append(self.fleet.run())
+        if self.versions:
+            waiting.append(self.versions.run())
         self.following = [loop.create_task(one) for one in waiting]
         if config.inherited is not None:
             # The process before this one still takes calls: this one begins when it knows the desks.
@@ -363,6 +379,8 @@
         self.board.move(config.board)
         if self.fleet and plugins.member_keys:
             self.fleet.rotate(plugins.member_keys)
+        if self.versions and plugins.agree:
+            self.versions.rotate(plugins.agree.taken, plugins.agree.send)
         waits += self._retune(config)
         if self.guide is None and plugins.plan:
             self._follow_plan(plugins.plan)
@@ -425,6 +443,8 @@
         self.management.close()
         if self.fleet:
             self.fleet.close()
+        if self.versions:
+            self.versions.close()
         if self.sip:
             self.sip.close()
         self.desks.close()
--- a/seamlb/fronts/management.py
+++ b/seamlb/fronts/management.py
@@ -70,7 +70,7 @@
     def __init__(
         self, address: str, lifecycle: Lifecycle, figures: Callable[[], Mapping[str, Any]],
         more: Mapping[str, Callable[[], Mapping[str, Any]]] | None = None,
-        orders: Mapping[str, Callable[[str], bool]] | None = None,
+        orders: Mapping[str, Callable[[str], str]] | None = None,
     ) -> None:
         super().__init__("management", address, {
             "/admin/health": ("GET", self._health),
@@ -103,13 +103,13 @@
     return lambda request: text(200, **figures())
 
 
-def _ordering(path: str, done: Callable[[str], bool]) -> Call:
-    """A call whose body is given to whoever does it; 409 if that is not to be done."""
+def _ordering(path: str, done: Callable[[str], str]) -> Call:
+    """A call whose body is given to whoever does it; 409 with the reason if that is not to be done."""
     def call(request: Request) -> bytes:
         asked = request.body.decode("utf-8", "replace")
-        found = done(asked)
-        log.event("operator", call=path, asked=asked[:80], done=found)
-        return text(200 if found else 409, asked=asked[:80])
+        why = done(asked)
+        log.event("operator", call=path, asked=asked[:80], done=not why)
+        return text(409, asked=asked[:80], error=why) if why else text(200, asked=asked[:80])
 
     return call
 
--- a/seamlb/members/table.py
+++ b/seamlb/members/table.py
@@ -29,23 +29,23 @@
     send: int
 
 
-def load_keys(path: Path) -> MemberKeys:
+def load_keys(path: Path, table: str = "members") -> MemberKeys:
     """Read a file of keys: `send = 2` and a table `[keys]` of hex digits by number; ValueError or OSError."""
     if stat.S_IMODE(path.stat().st_mode) & 0o077:
-        raise ValueError(f"members.keys: {path}: others may read it: make its mode 0600")
+        raise ValueError(f"{table}.keys: {path}: others may read it: make its mode 0600")
     raw = tomllib.loads(path.read_text())
     keys = raw.get("keys")
     if raw.keys() - {"send", "keys"} or not isinstance(keys, dict) or not isinstance(raw.get("send"), int):
-        raise ValueError(f"members.keys: {path}: not `send` and a table `[keys]`")
+        raise ValueError(f"{table}.keys: {path}: not `send` and a table `[keys]`")
     taken = {}
     for number, text in keys.items():
         try:
             taken[int(number)] = bytes.fromhex(text)
         except (ValueError, TypeError):
-            raise ValueError(f"members.keys: {path}: key {number}: no hex digits by number") from None
+            raise ValueError(f"{table}.keys: {path}: key {number}: no hex digits by number") from None
         if not 0 <= int(number) <= 255 or not LEAST_KEY <= len(taken[int(number)]) <= MOST_KEY:
             bounds = f"not 0 to 255, or not {LEAST_KEY} to {MOST_KEY} bytes"
-            raise ValueError(f"members.keys: {path}: key {number}: {bounds}")
+            raise ValueError(f"{table}.keys: {path}: key {number}: {bounds}")
     if raw["send"] not in taken:
-        raise ValueError(f"members.keys: {path}: send: no key {raw['send']}")
+        raise ValueError(f"{table}.keys: {path}: send: no key {raw['send']}")
     return MemberKeys(taken, raw["send"])
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -24,8 +24,8 @@
     Outcome,
     Peers,
     Request,
-    ZoneView,
 )
+from seamlb.routing.seam import Seam
 
 FULL_MS = 1000.0  # when to come back to an agent that holds all the calls it may
 
@@ -100,6 +100,7 @@
     ) -> None:
         self.settings = settings
         self.advisor = advisor
+        self.seam = Seam()
         self.instances = 0  # that share fleet-wide limits; 0: as many as the settings name
         self.module = Controller(self._for_module(settings), seed)
         self.clock = clock or Clock().now
@@ -108,7 +109,6 @@
         self.observe = observe
         self.measure: Callable[[str, str, float], None] | None = None  # told each end: class, how, after how many ms
         self.guide = guide
-        self.zones: ZoneView | None = None
         self.desks: DeskClient | None = None
         self.peers: Peers | None = None
         self.lives: dict[int, Life] = {}
@@ -131,10 +131,11 @@
 
     def feed(self, event: api.Event) -> None:
         """Give the module an event and carry out what it decides, in order."""
+        self.look()
         for action in self.module.handle(self.clock(), event):
-            if self.zones and isinstance(action, api.CallOut) and action.call in self.lives:
-                self.zones.sent(self.clock() / 1000.0, action.call, self.names.get(action.server, ""))
-                self.zoned()
+            if self.seam.parts and isinstance(action, api.CallOut) and action.call in self.lives:
+                self.seam.sent(self.clock() / 1000.0, action.call, self.names.get(action.server, ""))
+                self.desks_changed()
             match action:
                 case api.CallOut() | api.Deny() | api.ReportFailure() | api.Withdraw():
                     if life := self.lives.get(action.call):
@@ -171,17 +172,25 @@
         self.instances = instances
         self.tell(api.Retuned(self._for_module(self.settings)))
 
+    def look(self) -> None:
+        """Before anything is done: act on what the parts say now."""
+        if self.seam.look():
+            self.tell(api.Retuned(self._for_module(self.settings)))
+            self.desks_changed()
+
     def _for_module(self, settings: api.Settings) -> api.Settings:
         if self.instances:
             settings = replace(settings, instances=self.instances)
+        settings = self.seam.settings(settings)
         return self.advisor.extend(settings) if self.advisor else settings
 
     # -- the list of desks --------------------------------------------------------------------
 
     def list_changed(self, scope: api.Scope, desks: Sequence[Desk]) -> None:
         """News of the list; told to the module first, so that nothing new goes to a desk that drains."""
+        self.look()
         now = self.clock()
-        told = self.zones.listed(now / 1000.0, now, desks, scope != api.Scope.DELTA) if self.zones else desks
+        told = self.seam.listed(now / 1000.0, now, desks, scope != api.Scope.DELTA)
         self.tell(api.ListChange(scope, self._entries(told)))
         gone = [] if scope == api.Scope.DELTA else self.listed.keys() - {d.ident for d in desks}
         for name in sorted(gone):
@@ -196,10 +205,10 @@
     def _entries(self, desks: Sequence[Desk]) -> tuple[api.ListEntry, ...]:
         return tuple(api.ListEntry(self._number(d.ident), d.zone, d.cell, d.availability, d.since_ms) for d in desks)
 
-    def zoned(self) -> None:
-        """Tell the module what the zones' states make of the desks now."""
+    def desks_changed(self) -> None:
+        """Tell the module what the parts make of the desks now."""
         now = self.clock()
-        if self.zones and (changed := self.zones.changed(now / 1000.0, now)):
+        if changed := self.seam.changed(now / 1000.0, now):
             self.tell(api.ListChange(api.Scope.DELTA, self._entries(changed)))
 
     def steer(self) -> None:
@@ -268,7 +277,8 @@
 
     def take(self, request: Request, caller: Caller) -> Life | None:
         """Take a request; its final answer comes by `caller`. None: answered already, too many open or leaving."""
-        if self.unanswered >= self.max_open or self.leaving():
+        self.look()
+        if self.unanswered >= min(self.max_open, self.seam.open) or self.leaving():
             self.counters.throttled[request.class_name] += 1
             if self.measure:
                 self.measure(request.class_name, "throttled", 0.0)
@@ -383,8 +393,7 @@
         """The call stands: pass the answer on, then wait for the release from either side."""
         assert self.desks is not None and life.attempt is not None
         told = self._answer(life, answer)
-        if self.zones:
-            self.zones.ended(self.clock() / 1000.0, life.number, api.Status.OK)
+        self.seam.ended(self.clock() / 1000.0, life.number, api.Status.OK)
         self.feed(api.Stands(life.number, life.attempt.leg, life.server, self._delay(life)))
         while told == "stands":
             match await life.news.get():
@@ -442,8 +451,7 @@
         attempt = self._vacate(life)
         if attempt is None:
             return
-        if self.zones:
-            self.zones.ended(self.clock() / 1000.0, life.number, outcome.status)
+        self.seam.ended(self.clock() / 1000.0, life.number, outcome.status)
         self._reported(attempt.desk, outcome.report)
         self.feed(api.Ended(
             life.number, attempt.leg, life.server, outcome.status, final, self._delay(life),
@@ -462,8 +470,7 @@
 
     def _close(self, life: Life, result: str) -> None:
         del self.lives[life.number]
-        if self.zones:  # an attempt that was decided on and never began
-            self.zones.ended(self.clock() / 1000.0, life.number, api.Status.CANCELLED)
+        self.seam.ended(self.clock() / 1000.0, life.number, api.Status.CANCELLED)  # decided on, and never began
         if left := self._vacate(life):
             self._forget(left.desk)
         life.closed()
--- a/seamlb/routing/model.py
+++ b/seamlb/routing/model.py
@@ -10,7 +10,7 @@
 
 __all__ = [
     "Advisor", "Answer", "Attempt", "Availability", "Caller", "Desk", "DeskClient", "Guide", "Heard", "Membership",
-    "Outcome", "Peers", "Request", "Scope", "Status", "ZoneView",
+    "Outcome", "Peers", "Request", "Scope", "Status",
 ]
 
 
@@ -139,22 +139,6 @@
         """The settings that the module is to decide by."""
 
 
-class ZoneView(Protocol):
-    """What the fleet does about zones: it changes what the module is told of desks, never a send. Times: seconds."""
-
-    def sent(self, now: float, attempt: int, desk: str) -> None:
-        """The module has decided on an attempt."""
-
-    def ended(self, now: float, attempt: int, status: Status) -> None:
-        """An attempt was answered or is over."""
-
-    def listed(self, now: float, unix_ms: float, desks: Iterable[Desk], whole: bool) -> list[Desk]:
-        """News of the list, as the module is to have them."""
-
-    def changed(self, now: float, unix_ms: float) -> list[Desk]:
-        """Desks of which the module has to be told something else now."""
-
-
 class Advisor(Protocol):
     """Local rules: they may change what is known of a call before the module decides, and nothing after."""
 
--- a/seamlb/zones/overlay.py
+++ b/seamlb/zones/overlay.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from seamlb.routing.model import Availability, Desk, Status
+from seamlb.routing.seam import Part
 from seamlb.zones.fleet import OUT, RAMP, Paces, State, Vote, Zones
 from seamlb.zones.sight import Sight
 
@@ -20,7 +21,7 @@
 LIVES = (Status.OK, Status.FULL, Status.ERROR)  # the desk answered
 
 
-class Overlay:
+class Overlay(Part):
     """One agent's: fed with its attempts and the others' votes, asked what its module is to believe."""
 
     def __init__(self, names: Sequence[str], configured: int, bears: float, stall: float,
--- /dev/null
+++ b/tests/agreed.py
@@ -0,0 +1,225 @@
+"""A site of real processes that agree on versions: injectors between all of them, and an auditor of their logs."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import sys
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+from seamlb.agree.charter import Charter, alone, guarded
+from seamlb.agree.holder import Stance
+from seamlb.agree.relations import KINDS
+from seamlb.agree.table import founding
+from tests.fleet import GOOD, ROOT, own_host
+from tests.injector import Injector
+from tests.loopback import PATIENCE
+from tests.support import RAW
+
+WITHIN = 2.0
+RULES = """
+[rules.open]
+kind = "limit"
+value = 100
+alone = 5
+[rules."tenant.t"]
+kind = "share"
+value = { whole = 10.0, parts = { a0 = 2.0, a1 = 2.0, a2 = 2.0, a3 = 2.0, a4 = 2.0 } }
+alone = { whole = 10.0, parts = { a0 = 0.5, a1 = 0.5, a2 = 0.5, a3 = 0.5, a4 = 0.5 } }
+[rules.desks]
+kind = "held"
+value = []
+alone = ["d1"]
+[rules.owner]
+kind = "owner"
+value = "a0"
+alone = ""
+"""
+
+
+def boottime() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Auditor:
+    """Seconds in which an agent acted beyond a charter that another acted on as in force."""
+
+    def __init__(self, first: Charter) -> None:
+        self.charters = {first.digest: first}
+        self.chosen: dict[int, set[str]] = {}
+        self.acts: dict[str, list[tuple[float, float, Charter, Stance]]] = {}  # from, to
+
+    def follow(self, charter: Charter) -> None:
+        """A charter that may come to be."""
+        self.charters[charter.digest] = charter
+
+    def read(self, name: str, lines: list[dict[str, Any]], end: float) -> None:
+        """The lines of one process, which ended at a time or still acts then."""
+        since = [float(one["since"]) for one in lines] + [end]
+        for place, one in enumerate(lines):
+            charter = self.charters[one["digest"]]
+            self.chosen.setdefault(charter.number, set()).add(charter.digest)
+            self.acts.setdefault(name, []).append((since[place], since[place + 1], charter, Stance(one["stance"])))
+
+    def _values(self, charter: Charter, stance: Stance) -> Mapping[str, Any]:
+        before = self.charters.get(charter.before)
+        if stance is Stance.GUARD and before:
+            return guarded(before, charter)
+        return alone(charter) if stance is Stance.ALONE else {n: one.value for n, one in charter.fields.items()}
+
+    def contradiction(self) -> float:
+        """Seconds, summed over pairs of agents."""
+        total = 0.0
+        plain = [(who, *one[:3]) for who, acts in self.acts.items() for one in acts if one[3] is Stance.PLAIN]
+        for name, acts in self.acts.items():
+            for start, end, charter, stance in acts:
+                values = self._values(charter, stance)
+                for who, other_start, other_end, other in plain:
+                    both = min(end, other_end) - max(start, other_start)
+                    if who != name and both > 0.0 and any(
+                            not KINDS[rule.kind].keeps(name, values[field], rule.value)
+                            for field, rule in other.fields.items()):
+                        total += both
+        return total
+
+
+class Site:
+    """Agents a0 to a4, of which the first three are the council; `injectors` by who dials whom."""
+
+    def __init__(self, folder: Path, size: int = 5, council: int = 3) -> None:
+        self.folder, self.names = folder, [f"a{n}" for n in range(size)]
+        self.members = self.names[:council]
+        self.may = self.names[:council + 1]  # become members
+        self.hosts = {name: own_host() for name in self.names}
+        self.injectors: dict[tuple[str, str], Injector] = {}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.starts: dict[str, int] = {}
+        self.ends: dict[tuple[str, int], float] = {}  # process: when it was killed
+
+    async def start(self, *, ways: Mapping[str, tuple[str, ...]] | None = None) -> None:
+        (self.folder / "founding.toml").write_text(
+            f"council = {json.dumps(self.members)}\nagents = {json.dumps(self.names)}\n{RULES}")
+        self.auditor = Auditor(first := decode_founding(self.folder / "founding.toml"))
+        self.newest = first
+        (self.folder / "keys").write_text(f'send = 1\n[keys]\n1 = "{"11" * 32}"\n')
+        (self.folder / "keys").chmod(0o600)
+        members = [{"id": f"d{n}", "host_port": "127.0.0.1:9", "cell": n, "phase": "Ready", "up_since_ms": 0}
+                   for n in range(2)]
+        known = {"rev": 1, "notices": [{"rev": 1, "pool": {"complete": True, "members": members}}]}
+        for name in self.names:
+            council = []
+            for member in self.may:
+                self.injectors[name, member] = injector = Injector(f"{self.hosts[member]}:7100")
+                council.append(f"{member}={await injector.start()}")
+            (self.folder / name).mkdir()
+            (self.folder / f"{name}.toml").write_text(
+                f'[agree]\nlisten = "{self.hosts[name]}:7100"\nfounding = "founding.toml"\nstate = "{name}"\n'
+                f'keys = "keys"\ncouncil = {json.dumps(council)}\nwithin = {WITHIN}\n')
+            (self.folder / f"{name}.json").write_text(json.dumps({
+                "settings": RAW | {"Instances": 5, "Tenants": [{"Name": "t", "AllowancePerS": 10.0}]},
+                "name": name, "listen": f"{self.hosts[name]}:5060", "management": f"{self.hosts[name]}:7001",
+                "known": known}))
+        for name in self.names:
+            await self.begin(name, (ways or {}).get(name, GOOD))
+
+    async def begin(self, name: str, command: tuple[str, ...] = GOOD) -> None:
+        """Start a process for an agent."""
+        self.starts[name] = self.starts.get(name, -1) + 1
+        with open(self.folder / f"{name}.{self.starts[name]}.log", "wb") as out:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                *command, "serve", "--config", str(self.folder / f"{name}.json"),
+                "--plugins", str(self.folder / f"{name}.toml"), cwd=ROOT, stdout=out, stderr=out)
+
+    async def kill(self, name: str) -> None:
+        self.processes[name].kill()
+        await self.processes[name].wait()
+        self.ends[name, self.starts[name]] = boottime()
+
+    def cut(self, names: set[str], mode: str = "drop") -> None:
+        """Whoever is among these hears nobody else, and nobody else hears them."""
+        for (one, other), injector in self.injectors.items():
+            injector.mode = mode if (one in names) != (other in names) else "pass"
+
+    async def ask(self, name: str, path: str = "/admin/agree", body: str = "") -> dict[str, Any]:
+        """A call of the management address, {} if nobody answers."""
+        method = "POST" if body else "GET"
+        try:
+            reader, writer = await asyncio.open_connection(self.hosts[name], 7001)
+            writer.write(f"{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+            told = await asyncio.wait_for(reader.read(), 2.0)
+            writer.close()
+            return dict(json.loads(told.partition(b"\r\n\r\n")[2]))
+        except (OSError, ValueError, TimeoutError):
+            return {}
+
+    async def propose(self, name: str, council: tuple[str, ...] = (), **values: Any) -> Charter:
+        """Have a member put rules to the vote until they are; `values` by rule, `tenant_t` for tenant.t."""
+        rules = {key.replace("_", "."): value for key, value in values.items()}
+        charter = self.newest.altered(rules, council)
+        self.auditor.follow(charter)
+        async with asyncio.timeout(3 * PATIENCE):
+            while True:
+                told = await self.ask(name, "/admin/agree/propose", json.dumps({"rules": rules, "council": council}))
+                if told.get("error") == "":
+                    break
+                if "error" not in told and told:
+                    await asyncio.sleep(0.3)
+                    if (await self.ask(name)).get("charter", 0) >= charter.number:
+                        break
+                await asyncio.sleep(0.1)
+        self.newest = charter
+        return charter
+
+    async def acts(self, name: str) -> tuple[int, str]:
+        """Charter and stance of an agent."""
+        told = await self.ask(name)
+        return int(told.get("charter", 0)), str(told.get("stance", ""))
+
+    async def all_act(self, number: int, *but: str, stance: str = "in force") -> None:
+        async def they_do() -> bool:
+            return all([await self.acts(one) == (number, stance) for one in self.names if one not in but])
+        await self.until(they_do)
+
+    async def until(self, true: Callable[[], Any], within: float = 3 * PATIENCE) -> None:
+        async with asyncio.timeout(within):
+            while not await true():
+                await asyncio.sleep(0.05)
+
+    def lines(self, name: str, event: str, start: int | None = None) -> list[dict[str, Any]]:
+        """Log lines of an agent's process, by default its latest."""
+        path = self.folder / f"{name}.{self.starts[name] if start is None else start}.log"
+        return [told for line in path.read_text().splitlines()
+                if line.startswith("{") and (told := json.loads(line))["event"] == event]
+
+    def audit(self) -> float:
+        """Seconds of contradiction of all that acted so far, and no number has two charters."""
+        now = boottime()
+        for name, count in self.starts.items():
+            for start in range(count + 1):
+                self.auditor.read(name, self.lines(name, "agree_acts", start), self.ends.get((name, start), now))
+        assert all(len(one) == 1 for one in self.auditor.chosen.values())
+        return self.auditor.contradiction()
+
+    async def stop(self) -> None:
+        for one in self.processes.values():
+            if one.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    one.kill()
+            await one.wait()
+        for injector in self.injectors.values():
+            await injector.stop()
+
+
+def decode_founding(path: Path) -> Charter:
+    from seamlb.agree.charter import decode
+
+    return decode(founding(path))
+
+
+def version(*way: str) -> tuple[str, ...]:
+    """The command of a process of which something is wrong."""
+    return (sys.executable, "tests/versions.py", *way)
--- /dev/null
+++ b/tests/test_agree_daemon.py
@@ -0,0 +1,151 @@
+"""Agreed versions of real processes on loopback: killed, stalled, cut off, with disks that lie."""
+
+import asyncio
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests.agreed import Site, version
+
+
+class Agreed(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.site = Site(Path(self.enterContext(tempfile.TemporaryDirectory())))
+        self.addAsyncCleanup(self.site.stop)
+
+    async def test_a_proposal_is_acted_on_by_all_and_nobody_contradicts_whoever_is_killed_stalled_or_cut_off(
+            self) -> None:
+        site = self.site
+        await site.start()
+        await site.all_act(1)
+        await site.propose("a0", open=7, desks=["d1"])
+        await site.all_act(2)
+        for name in site.names:
+            told = await site.ask(name)
+            self.assertEqual((told["acts_on"]["open"], told["acts_on"]["desks"]), (7, ["d1"]))
+            self.assertEqual((await site.ask(name, "/admin/stats"))["out_of_rotation"], 1)
+
+        await site.kill("a1")  # a member of the council
+        site.processes["a4"].send_signal(signal.SIGSTOP)  # and an agent that goes on believing, for all it knows
+        site.cut({"a3"})  # and one that nobody hears
+        await site.propose("a2", open=50, owner="a3", desks=[])
+        await site.all_act(3, "a1", "a3", "a4")
+        self.assertEqual(await site.acts("a3"), (2, "alone"))
+        self.assertEqual((await site.ask("a3"))["acts_on"]["owner"], "")
+        await site.propose("a0", owner="a2", open=20)
+        await site.all_act(4, "a1", "a3", "a4")
+        site.processes["a4"].send_signal(signal.SIGCONT)
+        site.cut(set())
+        await site.begin("a1")
+        await site.all_act(4)
+        self.assertEqual(site.audit(), 0.0)
+
+    async def test_without_a_council_calls_are_served_under_what_who_is_alone_may_and_a_council_that_is_back_goes_on(
+            self) -> None:
+        site = self.site
+        await site.start()
+        await site.all_act(1)
+        await site.propose("a1", open=40)
+        await site.all_act(2)
+        for name in ("a0", "a2"):
+            await site.kill(name)
+        await site.all_act(2, "a0", "a2", stance="alone")
+        self.assertEqual((await site.ask("a3"))["acts_on"]["open"], 5)
+        self.assertEqual((await site.ask("a3", "/admin/health"))["phase"], "ready")
+        told = await site.ask("a3", "/admin/agree/propose", '{"rules": {"open": 60}}')
+        self.assertIn("not a member", told["error"])
+        told = await site.ask("a1", "/admin/agree/propose", '{"rules": {"open": 2}}')
+        self.assertIn("below 5", told["error"])
+        for name in ("a0", "a2"):
+            await site.begin(name)
+        await site.all_act(2)
+        site.cut({"a0"}, "deaf")  # what it asks arrives, and it hears no answer
+        await site.propose("a2", open=30)
+        await site.all_act(3, "a0")
+        site.cut(set())
+        await site.all_act(3)
+        self.assertEqual(site.audit(), 0.0)
+
+    async def test_a_member_is_replaced_and_the_new_one_votes(self) -> None:
+        site = self.site
+        await site.start()
+        await site.all_act(1)
+        told = await site.ask("a0", "/admin/agree/propose", '{"council": ["a2", "a3", "a4"]}')
+        self.assertIn("more than one is replaced", told["error"])
+        await site.propose("a0", council=("a0", "a1", "a3"), open=60)
+        await site.all_act(2)
+        for name in ("a1", "a2"):  # the one that went, and one that stayed: a0 and a3 are the majority
+            await site.kill(name)
+        await site.propose("a3", open=70)
+        await site.all_act(3, "a1", "a2")
+        for name in ("a1", "a2"):
+            await site.begin(name)
+        await site.all_act(3)
+        self.assertEqual(site.audit(), 0.0)
+
+    async def test_a_disk_that_lies_is_found_and_its_member_votes_no_more(self) -> None:
+        site = self.site
+        marks = {name: site.folder / f"{name}.disk" for name in ("a0", "a1", "a2")}
+        await site.start(ways={name: version("disk", str(mark)) for name, mark in marks.items()})
+        await site.all_act(1)
+        await site.propose("a0", open=40)
+        await site.all_act(2)
+        record = site.folder / "a1" / "council"
+        old = record.read_bytes()
+        await site.propose("a0", open=50)
+        await site.all_act(3)
+        await site.kill("a1")
+        record.write_bytes(old)  # a disk that went back
+        await site.begin("a1")
+
+        async def out() -> bool:
+            return any("gone back" in one["reason"] for one in site.lines("a1", "council_out"))
+
+        await site.until(out)
+        await site.propose("a2", open=60)
+        await site.all_act(4)  # a1 is an agent still
+        await site.kill("a2")
+        torn = site.folder / "a2" / "council"
+        torn.write_bytes(torn.read_bytes()[:-7])
+        await site.begin("a2")
+        await site.all_act(4, "a0", "a1", "a2", "a3", "a4")
+        lines = site.lines("a2", "council_out")
+        while not (lines := site.lines("a2", "council_out")):
+            await asyncio.sleep(0.05)
+        self.assertEqual(len(lines), 1)
+        self.assertIn("council: cut off", lines[0]["reason"])
+        # One of three is left: no lease, nothing new, and calls go on.
+        await site.all_act(4, "a2", stance="alone")
+        self.assertEqual((await site.acts("a2"))[1], "alone")
+        self.assertEqual((await site.ask("a3", "/admin/health"))["phase"], "ready")
+        self.assertEqual(site.audit(), 0.0)
+
+    async def test_a_disk_that_fails_or_hangs_takes_its_member_out_and_keeps_nobody_waiting(self) -> None:
+        site = self.site
+        marks = {name: site.folder / f"{name}.disk" for name in ("a0", "a1")}
+        await site.start(ways={name: version("disk", str(mark)) for name, mark in marks.items()})
+        await site.all_act(1)
+        marks["a1"].write_text("eio")
+        await site.propose("a0", open=40)
+        await site.all_act(2)
+        self.assertIn("disk failed", site.lines("a1", "council_out")[0]["reason"])
+        marks["a0"].write_text("hang")  # nothing comes of it while the disk hangs: two of three are gone
+        await site.ask("a2", "/admin/agree/propose", '{"rules": {"open": 45}}')
+        await site.all_act(2, stance="alone")
+        for name in site.names:
+            self.assertEqual((await site.ask(name, "/admin/health"))["phase"], "ready")
+        site.auditor.follow(site.newest.next(open=45))
+        marks["a0"].unlink()
+        await site.all_act(3)
+        self.assertEqual(site.audit(), 0.0)
+
+    async def test_an_agent_that_acts_on_when_its_lease_is_over_is_caught(self) -> None:
+        site = self.site
+        await site.start(ways={"a4": version("eager")})
+        await site.all_act(1)
+        site.cut({"a4"})
+        await site.propose("a0", open=50)
+        await site.all_act(2, "a4")
+        self.assertEqual(await site.acts("a4"), (1, "in force"))
+        self.assertGreater(site.audit(), 0.0)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,13 +20,13 @@
     "emulator": {"__version__", "api", "log", "planning", "plugins", "protocol", "routing"},
     "plugins": {"api", "log", "routing"},
     "zones": {"routing"},
-    "store": set(), "agree": set(),
+    "store": set(), "agree": {"api", "log", "net", "routing", "store"},
     "members": {"admin", "log", "net"},
     "rollout": {"__version__", "fronts", "log", "net", "protocol", "store"},
     "hook": {"log"},
-    "config": {"api", "fronts", "members", "membership", "net", "planning", "plugins", "protocol"},
-    "daemon": {"__version__", "config", "desks", "fronts", "hook", "lifecycle", "members", "membership", "planning",
-               "plugins", "rollout", "zones"}
+    "config": {"agree", "api", "fronts", "members", "membership", "net", "planning", "plugins", "protocol"},
+    "daemon": {"__version__", "agree", "config", "desks", "fronts", "hook", "lifecycle", "members", "membership",
+               "planning", "plugins", "rollout", "zones"}
     | WIRES,
     "cli": {"__version__", "admin", "config", "daemon", "emulator", "hook", "log", "members", "net", "planning",
             "plugins", "rollout"},
@@ -58,7 +58,9 @@
 
 
 @pytest.mark.parametrize("name", [
-    "agree", "api.py", "control.py", "drill.py", "lifecycle.py", "planning", "protocol", "routing", "store", "zones",
+    "api.py", "control.py", "drill.py", "lifecycle.py", "planning", "protocol", "routing", "store", "zones",
+    *(f"agree/{one}.py" for one in ("acting", "charter", "council", "frames", "holder", "kept", "lists", "notes",
+                                    "relations", "seat", "table")),
     *(f"rollout/{one}.py" for one in ("change", "fence", "figures", "judge", "keeping", "plan")),
     *(f"members/{one}.py" for one in ("shares", "swim", "table", "wire"))])
 def test_no_network_code_where_none_belongs(name: str) -> None:
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -1,10 +1,13 @@
 """Versions of the program that are worse in one way, started as `python tests/versions.py WAY`."""
 
 import asyncio
+import errno
 import os
 import random
 import sys
 import threading
+import time
+from pathlib import Path
 from typing import Any
 
 from seamlb.cli import main
@@ -35,6 +38,21 @@
     return asyncio.sleep(30.0) if rng.random() < 0.3 else live(self, life)
 
 
+def _disk(mark: Path) -> None:
+    from seamlb.store.files import Files
+
+    write = Files.write
+
+    def lying(self: Files, path: Path, data: bytes) -> None:
+        while mark.exists() and mark.read_text() == "hang":
+            time.sleep(0.05)
+        if mark.exists():
+            raise OSError(errno.EIO, "Input/output error")
+        write(self, path, data)
+
+    Files.write = lying  # type: ignore[method-assign]
+
+
 match way:
     case "slow":
         Agent._live = _slow  # type: ignore[method-assign]
@@ -51,4 +69,10 @@
             os.environ["GW_CONFIG"] = os.devnull
     case "equal":
         pass
+    case "disk":  # wrong while a file is there, as the word in it says
+        _disk(Path(sys.argv.pop(1)))
+    case "eager":  # acts on though its lease is over
+        from seamlb.agree.holder import Holder, Stance
+
+        Holder.stance = lambda self, now: Stance.PLAIN  # type: ignore[method-assign]
 main()
