Keep a quiet desk's connection when a new one comes up late: what stands there ends on it

At fault: desks/platform.py, `_unreachable`, spared the open connection for refusals alone. Where the next try is late too, the desk has no connection of ours for 0.5 s and a pause of up to 1 s, and the release of a call that ends then is told too late: that is the one way found by which a call can be lost there.

Mended: until nothing has come for 6 s the open connection stays, whatever a new one's try says; set-ups are kept off it while it is silent and none comes up, as they were when it was closed.

--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -102,7 +102,8 @@
             heard(attempt.leg, Outcome(Status.CONNECT_FAILED))
             return
         self.legs[self._key(attempt)] = leg
-        if usable := self._usable(link):
+        usable = self._usable(link)
+        if usable and not (link.dead and leg.sent - usable.last_read > QUIET):
             self._invite(leg, usable)
         elif link.dead:
             self._over(self._key(attempt))
@@ -160,6 +161,7 @@
         pause, broke = RETRY_FIRST, False
         while not link.gone:
             if link.open and not self._suspect(link):
+                link.dead = False
                 for old in link.open[:-1]:
                     if not self._legs_on(old):
                         old.close(CloseReason.IDLE)
@@ -258,19 +260,20 @@
         A process that only hangs keeps what stands there, so silence cuts nothing. Nor does a refusal while a
         connection is open: a desk that drains refuses new ones and has its calls, and a dying process resets. Only
         when nothing has come on it for long either has it fallen silent, and its process has ended unheard: callers
-        are owed the end of a call that was cut within 8 s.
+        are owed the end of a call that was cut within 8 s. Until then it stays open, also when a new one does not
+        come up in time, which may happen once at a desk that refuses all others: what stands there ends on it.
         """
         link.dead = True
         heard = max((one.last_read for one in link.open), default=now)
         refused = reason == CloseReason.REFUSED
-        drains = refused and bool(link.open) and now - heard < UNREACHABLE
-        if reason == CloseReason.SILENT or drains:
+        quiet = bool(link.open) and now - heard < UNREACHABLE
+        if reason == CloseReason.SILENT or (refused and quiet):
             link.lost_at = None
         elif link.lost_at is None:
             link.lost_at = heard + 0.5 if now - heard > QUIET else now  # lost somewhere in that quiet
         for connection in link.open[:]:
             # Silent too: the machine is gone or cut off, or hangs, or its set-ups would wait for their time-outs.
-            if now - connection.last_read > SUSPECT and (not drains or self._legs_on(connection)):
+            if now - connection.last_read > SUSPECT and (not quiet or self._legs_on(connection)):
                 connection.close(CloseReason.SILENT)
         waiting, link.waiting = link.waiting, []
         for leg in waiting:
