Make the daemon a frame whose subsystems bring their own start, steps, reload and stop

`subsystems/` has one class a subsystem (peers, measures, members, zones, agreed versions, plan, plug-ins) behind one base; `config.py` keeps the platform's JSON and `extras.py` has the plug-ins' TOML; `routing/agent.py` keeps the life of a request and `routing/core.py` has what the module is told.

One thing differs: a SIGHUP file that newly has [agree], or another one than the start's, is named in waits_for_restart by its own subsystem, keys apart. Option not taken: composition of core and lives; the tests and the emulator read both from one agent, and the move would not have been pure.

--- a/seamlb/cli.py
+++ b/seamlb/cli.py
@@ -10,7 +10,7 @@
 
 import click
 
-from seamlb import __version__, config, log
+from seamlb import __version__, config, extras, log
 from seamlb.daemon import Daemon
 from seamlb.hook import Hook, HookError
 from seamlb.net.connection import not_listening
@@ -37,28 +37,28 @@
 )
 
 
-def _read(path: str, plugins: str, told: config.Told) -> tuple[config.Config, config.Plugins]:
+def _read(path: str, plugins: str, told: config.Told) -> tuple[config.Config, extras.Plugins]:
     """Both files, checked whole; ConfigError if they can't be used."""
     loaded = config.load(path, told)
-    extras = config.load_plugins(plugins, loaded) if plugins else config.Plugins()
-    if not loaded.listen and not extras.sip:
+    found = extras.load_plugins(plugins, loaded) if plugins else extras.Plugins()
+    if not loaded.listen and not found.sip:
         raise config.ConfigError(f"{path}: listen: missing, and no sip front is on")
-    if extras.hook:
+    if found.hook:
         try:
-            Hook(extras.hook)
+            Hook(found.hook)
         except HookError as error:
             raise config.ConfigError(str(error)) from None
-    return loaded, extras
+    return loaded, found
 
 
 def _daemon(path: str, plugins: str, told: config.Told = AS_IN_FILE) -> Callable[[], Daemon]:
     """A daemon from checked files, which it reads anew on SIGHUP; one line and exit code 2 if they can't be used."""
     try:
-        loaded, extras = _read(path, plugins, told)
+        loaded, found = _read(path, plugins, told)
     except config.ConfigError as error:
         click.echo(f"seamlb: {error}", err=True)
         sys.exit(2)
-    return lambda: Daemon(loaded, extras, lambda: _read(path, plugins, told))
+    return lambda: Daemon(loaded, found, lambda: _read(path, plugins, told))
 
 
 class Commands(click.Group):
--- /dev/null
+++ b/seamlb/subsystems/fleet.py
@@ -0,0 +1,44 @@
+"""Membership: who else is alive, and by how many fleet-wide limits are divided."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine, Mapping
+
+from seamlb import __version__, log
+from seamlb.config import Config
+from seamlb.extras import Plugins
+from seamlb.members.link import MembersLink
+from seamlb.members.table import MemberKeys, MembersConfig
+from seamlb.routing.agent import Agent
+from seamlb.subsystems import Subsystem, Table
+
+
+class FleetPart(Subsystem):
+    """`[members]`."""
+
+    TAKES = ("member_keys",)
+
+    def __init__(self, config: Config, table: MembersConfig, keys: MemberKeys, agent: Agent) -> None:
+        self.link = MembersLink(table, keys, config.name, config.settings.instances, config.inherited is not None,
+                                agent.share_among)
+        self.link.tell(f"{__version__} {config.zones[config.settings.zone] if config.zones else ''}".encode()[:32])
+
+    def tables(self) -> Mapping[str, Table]:
+        return {"/admin/members": self.link.table}
+
+    async def bind(self) -> None:
+        if not await self.link.start():
+            log.event("peers_wait", address=self.link.config.udp)
+
+    def runs(self) -> list[Coroutine[None, None, None]]:
+        return [self.link.run()]
+
+    def reload(self, config: Config, plugins: Plugins) -> None:
+        if plugins.member_keys:
+            self.link.rotate(plugins.member_keys)
+
+    def leave(self) -> None:
+        self.link.leave()
+
+    async def close(self) -> None:
+        self.link.close()
--- /dev/null
+++ b/seamlb/subsystems/measures.py
@@ -0,0 +1,23 @@
+"""Ends and times by class, for those who compare two versions."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine, Mapping
+
+from seamlb.rollout.measures import Measures
+from seamlb.routing.agent import Agent
+from seamlb.subsystems import Subsystem, Table
+
+
+class MeasuresPart(Subsystem):
+    """`/admin/measures`."""
+
+    def __init__(self, agent: Agent) -> None:
+        self.measures = Measures()
+        agent.measure = self.measures.ended
+
+    def tables(self) -> Mapping[str, Table]:
+        return {"/admin/measures": self.measures.table}
+
+    def runs(self) -> list[Coroutine[None, None, None]]:
+        return [self.measures.run()]
--- /dev/null
+++ b/seamlb/subsystems/versions.py
@@ -0,0 +1,49 @@
+"""Agreed versions of a site's rules."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine, Mapping
+
+from seamlb.agree.link import AgreeLink
+from seamlb.agree.table import Agreed
+from seamlb.config import Config
+from seamlb.extras import Plugins
+from seamlb.routing.agent import Agent
+from seamlb.subsystems import Order, Subsystem, Table
+
+
+class VersionsPart(Subsystem):
+    """`[agree]`."""
+
+    TAKES = ("agree",)
+
+    def __init__(self, config: Config, table: Agreed, agent: Agent) -> None:
+        self.table = table
+        self.link = AgreeLink(table, config.name, config.zones, agent.look)
+        agent.seam.parts.append(self.link.acting)
+        agent.look()
+
+    def tables(self) -> Mapping[str, Table]:
+        return {"/admin/agree": self.link.table}
+
+    def orders(self) -> Mapping[str, Order]:
+        return {"/admin/agree/propose": self.link.propose}
+
+    def runs(self) -> list[Coroutine[None, None, None]]:
+        return [self.link.run()]
+
+    def check(self, plugins: Plugins) -> list[str]:
+        """Keys are taken over; what else is new waits."""
+        new = plugins.agree
+        if new is None:
+            return ["agree"]
+        same = (new.listen, new.state, new.first, new.council, new.lease) == (
+            self.table.listen, self.table.state, self.table.first, self.table.council, self.table.lease)
+        return [] if same else ["agree"]
+
+    def reload(self, config: Config, plugins: Plugins) -> None:
+        if plugins.agree:
+            self.link.rotate(plugins.agree.taken, plugins.agree.send)
+
+    async def close(self) -> None:
+        self.link.close()
--- /dev/null
+++ b/seamlb/subsystems/zones.py
@@ -0,0 +1,58 @@
+"""Leaving zones as a fleet: tells the others what we see, takes what they do, and gives the module what follows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from seamlb import __version__, log
+from seamlb.config import Config
+from seamlb.extras import ZonesConfig
+from seamlb.members.link import MembersLink
+from seamlb.routing.agent import Agent
+from seamlb.subsystems import Order, Subsystem, Table
+from seamlb.zones.fleet import Vote
+from seamlb.zones.overlay import Overlay
+
+EVERY = 0.1  # seconds between two looks at what zones do
+
+
+class ZonesPart(Subsystem):
+    """`[zones]`; `fleet` brings the others' word, where there are others."""
+
+    def __init__(self, config: Config, table: ZonesConfig, agent: Agent, fleet: MembersLink | None) -> None:
+        self.agent, self.fleet, self.names = agent, fleet, config.zones
+        regions = [frozenset(config.zones.index(name) for name in one.split("+")) for one in table.regions]
+        stall = min(kind.on_time for kind in config.settings.classes) / 1000.0
+        self.overlay = Overlay(
+            config.zones, config.settings.instances, table.bears, stall, regions, table.out, table.ramp)
+        agent.seam.parts.append(self.overlay)
+
+    def tables(self) -> Mapping[str, Table]:
+        return {"/admin/zones": lambda: self.overlay.table(self.agent.clock() / 1000.0)}
+
+    def orders(self) -> Mapping[str, Order]:
+        return {"/admin/zones/force": self.force}
+
+    def steps(self) -> list[tuple[float, str, Callable[[], None]]]:
+        return [(EVERY, "zones", self.step)]
+
+    def force(self, asked: str) -> str:
+        """`NAME out`, `NAME in` or `NAME auto`; why not, or empty."""
+        name, _, state = asked.partition(" ")
+        return "" if self.overlay.force(name, state) else "no such zone or state"
+
+    def step(self) -> None:
+        """Time has passed."""
+        now = self.agent.clock() / 1000.0
+        others: dict[str, Vote] = {}
+        divisor, place = 1, 0.0
+        if self.fleet:
+            divisor, place = self.fleet.divisor, self.fleet.place()
+            others = {name: Vote.decode(meta.rpartition(" ")[2]) for name, meta in self.fleet.others().items()}
+        self.overlay.step(now, others, divisor, place)
+        if self.fleet:
+            self.fleet.tell(f"{__version__} {self.overlay.vote(now).encode()}".encode()[:32])
+        for name, facts in self.overlay.zones.said:
+            log.event(name, **facts | {"zone": self.names[int(str(facts["zone"]))]})
+        self.overlay.zones.said.clear()
+        self.agent.desks_changed()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -10,8 +10,9 @@
 from typing import Any
 
 from seamlb import api
-from seamlb.config import Config, Plugins, SipDesksConfig, Told, read
+from seamlb.config import Config, Told, read
 from seamlb.daemon import Daemon
+from seamlb.extras import Plugins, SipDesksConfig
 from seamlb.fronts.sip import SipFrontConfig
 from seamlb.protocol.sip import Framer, Message, parameter, parse_datagram, response
 from seamlb.routing.model import Desk
