Make one list for an agent that follows the notice board and Consul, whose whole lists fought

`agree/merged.py` (pure, over `lists.py`): a whole list is its source's alone, a desk is as free as the strictest source that names it, where it is says the first of them. Option not taken: the board's word alone where there is one; an operator who drains a desk in Consul expects it to drain.

--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -19,13 +19,12 @@
 from seamlb.fronts.sip import SipFront
 from seamlb.hook import Hook
 from seamlb.lifecycle import Lifecycle
-from seamlb.membership.board import Board
-from seamlb.membership.consul import Consul
 from seamlb.net.connection import split_address
 from seamlb.routing.agent import Agent, Clock
 from seamlb.routing.model import Membership, Request
 from seamlb.sip.endpoint import SipEndpoint
 from seamlb.subsystems import Subsystem, build, local_rules
+from seamlb.subsystems.lists import ListsPart
 from seamlb.subsystems.peers import PeerLink
 from seamlb.subsystems.plan import PlanPart
 
@@ -59,6 +58,7 @@
         self.peers = PeerLink(config, self.agent) if config.peer_listen and settings.limits.peers else None
         self.parts: list[Subsystem] = [self.peers] if self.peers else []
         self.parts += build(config, plugins, self.agent)
+        self.parts.append(lists := ListsPart(config, plugins, self.agent))
         self.plan = PlanPart(config, plugins.plan, self.agent, self._every)
         self.parts.append(self.plan)
         if rules:
@@ -77,10 +77,7 @@
             self.desks = PlatformDesks(settings.fields, config.connect_timeout, self.agent.sampled,
                                        self.front.release, self.agent.counters.relay)
         self.agent.desks = self.desks
-        self.board = Board(config.board, config.zones, self.agent.list_changed, at_once=config.inherited is not None)
-        self.members: list[Membership] = [self.board]
-        if plugins.consul:
-            self.members.append(Consul(plugins.consul, config.zones, self.agent.list_changed, config.seed))
+        self.lists, self.board = lists, lists.board
         self.following: list[asyncio.Task[None]] = []  # tasks that end with the daemon
         self.term = asyncio.Event()
 
@@ -119,7 +116,7 @@
             self.front.start()
         if self.sip:
             await self.sip.start()
-        waiting = [self._follow(member) for member in self.members]
+        waiting = [self._follow(member) for member in self.lists.members]
         waiting += [one for part in self.parts for one in part.runs()]
         self.following = [loop.create_task(one) for one in waiting]
         if config.inherited is not None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -26,9 +26,9 @@
     "hook": {"log"},
     "config": {"api", "net", "protocol"},
     "extras": {"agree", "config", "fronts", "members", "membership", "net", "planning", "plugins"},
-    "subsystems": {"__version__", "agree", "config", "extras", "log", "members", "net", "planning", "plugins",
-                   "rollout", "routing", "zones"},
-    "daemon": {"__version__", "config", "desks", "extras", "fronts", "hook", "lifecycle", "membership", "subsystems"}
+    "subsystems": {"__version__", "agree", "config", "extras", "log", "members", "membership", "net", "planning",
+                   "plugins", "rollout", "routing", "zones"},
+    "daemon": {"__version__", "config", "desks", "extras", "fronts", "hook", "lifecycle", "subsystems"}
     | WIRES,
     "cli": {"__version__", "admin", "config", "daemon", "emulator", "extras", "hook", "log", "members", "net",
             "planning", "plugins", "rollout"},
@@ -61,8 +61,8 @@
 
 @pytest.mark.parametrize("name", [
     "api.py", "control.py", "drill.py", "lifecycle.py", "planning", "protocol", "routing", "store", "zones",
-    *(f"agree/{one}.py" for one in ("acting", "charter", "council", "frames", "holder", "kept", "lists", "notes",
-                                    "relations", "seat", "table")),
+    *(f"agree/{one}.py" for one in ("acting", "charter", "council", "frames", "holder", "kept", "lists", "merged",
+                                    "notes", "relations", "seat", "table")),
     *(f"rollout/{one}.py" for one in ("change", "fence", "figures", "judge", "keeping", "plan")),
     *(f"members/{one}.py" for one in ("shares", "swim", "table", "wire"))])
 def test_no_network_code_where_none_belongs(name: str) -> None:
