--- a/seamlb/agree/merged.py
+++ b/seamlb/agree/merged.py
@@ -1,7 +1,7 @@
 """One list for an agent that follows several sources: each whole list is its source's alone. Pure.
 
-Without it a whole list of one source takes the desks of the others off. A desk is as free as the strictest source that
-names it says, and is where the first of them, in their order, says.
+Without it a whole list of one source takes the desks of the others off. A desk is as free as the strictest source
+that names it says, and is where the first of them, in their order, says.
 """
 
 from __future__ import annotations
