--- a/benchmarks/faulty.py
+++ b/benchmarks/faulty.py
@@ -9,10 +9,11 @@
 import tempfile
 from pathlib import Path
 
-from seamlb.emulator.load import Load, Report, play
+from seamlb.emulator.load import Load, Report, play, read_site
 from tests.test_plugins import FAULTY, module
 
 OUT = Path(__file__).resolve().parent.parent / "docs" / "results" / "faulty.md"
+SITE = read_site(Path(__file__).resolve().parent.parent / "examples" / "lab" / "site.toml")
 HUNGRY = module("(local i32) (loop $l (local.set 1 (i32.add (local.get 1) (i32.const 1)))"
                 "(br_if $l (i32.lt_u (local.get 1) (i32.const 1100)))) (i32.const 0)", name="hungry")
 REFUSES = "plugin refuses version 1\nrule r on admit then refuse\n"
@@ -31,7 +32,7 @@
 
 
 def one(rate: float, seed: int, plugins: str) -> Report:
-    return asyncio.run(play(Load(rate, 8.0, agents=1000, setup=0.0003, seed=seed, plugins=plugins)))
+    return asyncio.run(play(Load(rate, 8.0, agents=1000, setup=0.0003, seed=seed, plugins=plugins, site=SITE)))
 
 
 def main(rate: float, pairs: int) -> None:
--- a/seamlb/emulator/command.py
+++ b/seamlb/emulator/command.py
@@ -49,9 +49,11 @@
               help="Like 3:desk-1:reset; what is reset, mute, wake, full, empty or drain. May be repeated.")
 @click.option("--plugin", "plugins", multiple=True, type=click.Path(path_type=Path, dir_okay=False, exists=True),
               help="A plug-in that the agent loads. May be repeated.")
+@click.option("--site", "site_file", type=click.Path(path_type=Path, dir_okay=False, exists=True),
+              help="A TOML file of classes and offices; without it two plain classes of one office.")
 @click.option("--out", type=click.Path(path_type=Path, file_okay=False), help="A folder for report and chart.")
 def load(front: str, rate: float, seconds: float, seed: int, faults: tuple[str, ...], plugins: tuple[Path, ...],
-         out: Path | None) -> None:
+         site_file: Path | None, out: Path | None) -> None:
     """Load on loopback sockets, audited; exit code 1 if a rule did not hold."""
     from seamlb.emulator import load as loads
 
@@ -66,8 +68,13 @@
         if what not in loads.FAULTS or desk not in {f"desk-{n}" for n in range(loads.DESKS)}:
             click.echo(f"seamlb lab: --fault {one}: not AT:DESK:WHAT with {', '.join(loads.FAULTS)}", err=True)
             sys.exit(2)
+    try:
+        site = loads.read_site(site_file) if site_file else loads.Site()
+    except ValueError as error:
+        click.echo(f"seamlb lab: --site {error}", err=True)
+        sys.exit(2)
     table = "".join(f'[[plugins.plugin]]\nfile = "{path.resolve()}"\nmost = 1.0\n' for path in plugins)
-    asked = loads.Load(rate, seconds, front, seed=seed, faults=tuple(events), plugins=table)
+    asked = loads.Load(rate, seconds, front, seed=seed, faults=tuple(events), plugins=table, site=site)
     report = asyncio.run(loads.play(asked))
     lines = loads.report_lines(asked, report)
     click.echo("\n".join(lines))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,11 +1,13 @@
 """The load tool's audit finds what it is for, and a short load on each front keeps the rules."""
 
 import asyncio
+import random
+from pathlib import Path
 
 import pytest
 
 from seamlb.emulator.audit import Audit
-from seamlb.emulator.load import FRONTS, Load, play
+from seamlb.emulator.load import FRONTS, Load, play, read_site
 
 
 def audit() -> Audit:
@@ -79,3 +81,36 @@
     assert report.exit_code == 0 and report.calls > 30
     assert sum(report.results.values()) == report.calls and report.results["stood"] > 0
     assert not {"two attempts out", "two final answers", "no final answer", "drain"} & report.counts.keys()
+
+
+def drawn(classes: int, offices: int) -> str:
+    rng = random.Random(classes * 100 + offices)
+    rows = [f'[[classes]]\nname = "c{n}"\npart = {rng.uniform(0.1, 1.0)}\nworth = {rng.choice([0.5, 1, 20])}\n'
+            f"on_time_ms = {rng.randint(500, 2000)}\ndeadline_ms = 6000\n" for n in range(classes)]
+    rows += [f'[[offices]]\nname = "o{n}"\npart = {rng.uniform(0.1, 1.0)}\n' for n in range(offices)]
+    return "".join(rows)
+
+
+@pytest.mark.parametrize(("classes", "offices"), [(1, 1), (5, 1), (12, 40)])
+def test_a_load_on_a_drawn_site_keeps_the_rules(tmp_path: Path, classes: int, offices: int) -> None:
+    (tmp_path / "site.toml").write_text(drawn(classes, offices))
+    load = Load(rate=30.0, seconds=1.0, site=read_site(tmp_path / "site.toml"))
+    report = asyncio.run(play(load))
+    assert report.broken == [] and report.exit_code == 0
+    assert report.results.total() == report.calls > 0
+    assert report.onset_ms.keys() == {f"c{n}" for n in range(classes)}
+
+
+ONE, TWO = drawn(1, 1), drawn(2, 1)
+
+
+@pytest.mark.parametrize(("text", "says"), [
+    (ONE.replace('"c0"', '""'), r"classes\[0\].name: missing"),
+    (ONE.replace("worth", "worht"), r"classes\[0\].worth"),
+    (TWO.replace("c1", "c0"), r"classes\[1\].name"), (ONE + "x = 1\n", r"offices\[0\].x: unknown key"),
+    ("patience_ms = 0\n" + ONE, "patience_ms"), ("", "classes: at least one"),
+    ("people = 1", "unknown key 'people'")])
+def test_a_site_that_cannot_be_used_is_named(tmp_path: Path, text: str, says: str) -> None:
+    (tmp_path / "site.toml").write_text(text)
+    with pytest.raises(ValueError, match=says):
+        read_site(tmp_path / "site.toml")
