--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon: puts fronts, core, desk clients, membership and subsystems together, and ends in good order."""
+"""The daemon: puts fronts, core, desk clients, discovery and subsystems together, and ends in good order."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 from seamlb.lifecycle import Lifecycle
 from seamlb.net.connection import split_address
 from seamlb.routing.agent import Agent, Clock
-from seamlb.routing.model import Membership, Request
+from seamlb.routing.model import Discovery, Request
 from seamlb.sip.endpoint import SipEndpoint
 from seamlb.subsystems import Subsystem, build, local_rules
 from seamlb.subsystems.lists import ListsPart
@@ -151,13 +151,13 @@
         """What `/admin/stats` shows."""
         return self.agent.figures() | {"cfg_accepted": self.cfg_accepted, "cfg_invalid": self.cfg_invalid}
 
-    async def _follow(self, member: Membership) -> None:
+    async def _follow(self, member: Discovery) -> None:
         """Follow a list; a fault is logged and it is followed anew, as a drain must not go unheard."""
         while True:
             try:
                 await member.run()
             except Exception as error:
-                log.event("fault", where="membership", error=repr(error), trace=log.trace(error))
+                log.event("fault", where="discovery", error=repr(error), trace=log.trace(error))
             await asyncio.sleep(1.0)
 
     def reload(self) -> None:
--- /dev/null
+++ b/seamlb/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Discovery: where the list of duty desks comes from."""
--- a/seamlb/membership/board.py
+++ b/seamlb/discovery/board.py
@@ -9,7 +9,7 @@
 import orjson
 
 from seamlb import log
-from seamlb.membership.poller import Poller, PollFailed
+from seamlb.discovery.poller import Poller, PollFailed
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.notices import Notice, NoticeError, parse_notices
 from seamlb.routing.model import Availability, Desk, Scope
--- a/seamlb/membership/consul.py
+++ b/seamlb/discovery/consul.py
@@ -1,4 +1,4 @@
-"""Membership from Consul: instances by the catalogue, their state by the health API, both by blocking queries."""
+"""Discovery from Consul: instances by the catalogue, their state by the health API, both by blocking queries."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 import orjson
 
 from seamlb import log
-from seamlb.membership.poller import Poller, PollFailed
+from seamlb.discovery.poller import Poller, PollFailed
 from seamlb.net.reason import CloseReason
 from seamlb.routing.model import Availability, Desk, Scope
 
--- a/seamlb/membership/poller.py
+++ b/seamlb/discovery/poller.py
@@ -1,4 +1,4 @@
-"""One GET at a time on one kept connection: what both kinds of membership poll with."""
+"""One GET at a time on one kept connection: what both kinds of discovery poll with."""
 
 from __future__ import annotations
 
--- a/seamlb/extras.py
+++ b/seamlb/extras.py
@@ -12,9 +12,9 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from seamlb.config import Config, ConfigError
+from seamlb.discovery.consul import ConsulConfig
 from seamlb.fronts.sip import SipFrontConfig
 from seamlb.members.table import MemberKeys, MembersConfig, load_keys
-from seamlb.membership.consul import ConsulConfig
 from seamlb.net.connection import split_address
 
 if TYPE_CHECKING:
--- a/seamlb/membership/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Membership: where the list of duty desks comes from."""
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -17,7 +17,7 @@
 
 
 class Agent(Core):
-    """One call agent; fronts give it requests, desk clients outcomes, membership the list."""
+    """One call agent; fronts give it requests, desk clients outcomes, discovery the list."""
 
     def __init__(
         self, settings: api.Settings, seed: int, max_open: int = 20000, clock: Callable[[], float] | None = None,
--- a/seamlb/routing/model.py
+++ b/seamlb/routing/model.py
@@ -1,4 +1,4 @@
-"""What the core deals in, and what it asks of fronts, desk clients and membership."""
+"""What the core deals in, and what it asks of fronts, desk clients and discovery."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from seamlb.api import Availability, Scope, Settings, Status
 
 __all__ = [
-    "Advisor", "Answer", "Attempt", "Availability", "Caller", "Desk", "DeskClient", "Guide", "Heard", "Membership",
+    "Advisor", "Answer", "Attempt", "Availability", "Caller", "Desk", "DeskClient", "Guide", "Heard", "Discovery",
     "Outcome", "Peers", "Request", "Scope", "Status",
 ]
 
@@ -111,7 +111,7 @@
         """Close idle connections."""
 
 
-class Membership(Protocol):
+class Discovery(Protocol):
     """Brings the list of desks to the core until it is stopped."""
 
     async def run(self) -> None:
--- a/seamlb/subsystems/lists.py
+++ b/seamlb/subsystems/lists.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable, Coroutine
 
 from seamlb.config import Config
+from seamlb.discovery.board import Board, Changed
+from seamlb.discovery.consul import Consul
 from seamlb.extras import Plugins
-from seamlb.membership.board import Board, Changed
-from seamlb.membership.consul import Consul
 from seamlb.routing.agent import Agent
-from seamlb.routing.model import Membership
+from seamlb.routing.model import Discovery
 from seamlb.subsystems import Subsystem
 
 KNOW = 1.5  # seconds that the first list waits for the sources that are silent
@@ -26,7 +26,7 @@
         if plugins.consul:  # a board may come at SIGHUP
             to_board, to_consul = self._merged(agent.list_changed, bool(config.board or config.known))
         self.board = Board(config.board, config.zones, to_board, at_once=config.inherited is not None)
-        self.members: list[Membership] = [self.board]
+        self.members: list[Discovery] = [self.board]
         if plugins.consul:
             self.members.append(Consul(plugins.consul, config.zones, to_consul, config.seed))
 
--- a/tests/test_membership.py
+++ b/tests/test_discovery.py
@@ -4,13 +4,13 @@
 from typing import Any
 
 from seamlb import api
-from seamlb.membership.board import Board
-from seamlb.membership.consul import Consul, ConsulConfig
+from seamlb.discovery.board import Board
+from seamlb.discovery.consul import Consul, ConsulConfig
 from seamlb.protocol.http import HttpError, ResponseReader
 from tests.loopback import Stand, Story, http, notices
 
 
-class Membership(Story):
+class Discovery(Story):
     async def follow(self, member: Board | Consul, stand: Stand) -> None:
         task = asyncio.create_task(member.run())
 
--- a/tests/test_merged.py
+++ b/tests/test_merged.py
@@ -6,8 +6,8 @@
 from seamlb.agree.merged import Merged
 from seamlb.api import Availability, Scope
 from seamlb.daemon import Daemon
+from seamlb.discovery.consul import ConsulConfig
 from seamlb.extras import Plugins
-from seamlb.membership.consul import ConsulConfig
 from seamlb.routing.model import Desk
 from tests.loopback import Stand, Story, config, http, notices
 
