Show that a second process in a folder acts alone until the first one ends, and then votes on

The new process of an upgrade with [agree], or one started twice by mistake, has the name of the first: with a lease of its own one name would act on two. It waits for the folder's lock, is refused nothing and contradicts nobody, and takes over the member's record when the first has ended (tests/test_agree_daemon.py, five processes and one).

--- a/tests/test_agree_daemon.py
+++ b/tests/test_agree_daemon.py
@@ -1,12 +1,14 @@
 """Agreed versions of real processes on loopback: killed, stalled, cut off, with disks that lie."""
 
 import asyncio
+import json
 import signal
 import tempfile
 import unittest
 from pathlib import Path
 
-from tests.agreed import Site, version
+from tests.agreed import WITHIN, Site, boottime, version
+from tests.fleet import own_host
 
 
 class Agreed(unittest.IsolatedAsyncioTestCase):
@@ -84,6 +86,41 @@
         await site.all_act(3)
         self.assertEqual(site.audit(), 0.0)
 
+    async def test_a_second_process_in_a_folder_acts_alone_until_the_first_one_ends(self) -> None:
+        """The new process of an upgrade, or one that was started twice: one name never has two leases."""
+        site = self.site
+        await site.start()
+        await site.all_act(1)
+        await site.propose("a0", open=60)
+        await site.all_act(2)
+        site.hosts["twin"] = own_host()
+        config = json.loads((site.folder / "a1.json").read_text())
+        config |= {"listen": f"{site.hosts['twin']}:5060", "management": f"{site.hosts['twin']}:7001"}
+        (site.folder / "twin.json").write_text(json.dumps(config))
+        (site.folder / "twin.toml").write_text((site.folder / "a1.toml").read_text())
+        await site.begin("twin")
+
+        async def waits() -> bool:
+            return bool((await site.ask("twin")).get("waits_for_the_folder"))
+
+        await site.until(waits)
+        await asyncio.sleep(WITHIN)
+        self.assertEqual((await site.acts("twin"))[1], "alone")
+        self.assertEqual((await site.ask("twin"))["acts_on"]["open"], 5)
+        await site.propose("a0", open=70)
+        await site.all_act(3)
+        site.processes["a1"].send_signal(signal.SIGTERM)
+        self.assertEqual(await site.processes["a1"].wait(), 0)
+        site.ends["a1", 0] = boottime()
+
+        async def took_over() -> bool:
+            return await site.acts("twin") == (3, "in force") and bool((await site.ask("twin"))["member"])
+
+        await site.until(took_over)
+        await site.propose("twin", open=80)  # it votes on by what the first one left on the disk
+        await site.all_act(4, "a1")
+        self.assertEqual((await site.ask("twin"))["name"], "a1")
+
     async def test_a_disk_that_lies_is_found_and_its_member_votes_no_more(self) -> None:
         site = self.site
         marks = {name: site.folder / f"{name}.disk" for name in ("a0", "a1", "a2")}
