Say once who takes a source's news of the list, and set up a standing call once in the tests of silence

The type of a list's listener stood in the board, in Consul and, with this change, in the merged list; it is in routing/model.py now. Assertions unchanged.

--- a/seamlb/agree/merged.py
+++ b/seamlb/agree/merged.py
@@ -6,15 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from seamlb.agree.lists import Listed, Lists
 from seamlb.api import Availability, Scope
-from seamlb.routing.model import Desk
+from seamlb.routing.model import Changed, Desk
 
 LISTED = {Availability.READY: Listed.READY, Availability.DRAINING: Listed.DRAINING, Availability.GONE: Listed.GONE}
 AVAILABLE = {listed: availability for availability, listed in LISTED.items()}
-Changed = Callable[[Scope, Sequence[Desk]], None]
 
 
 class Merged:
--- a/seamlb/discovery/board.py
+++ b/seamlb/discovery/board.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import orjson
@@ -12,15 +12,13 @@
 from seamlb.discovery.poller import Poller, PollFailed
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.notices import Notice, NoticeError, parse_notices
-from seamlb.routing.model import Availability, Desk, Scope
+from seamlb.routing.model import Availability, Changed, Desk, Scope
 
 LINGER = 2.0  # seconds that the board may wait for news
 SILENCE = 1.5  # seconds beyond that before a poll counts as silent; a drain must be known within 7 s
 RETRY_FIRST, RETRY_MOST = 0.1, 0.5  # with the time to connect, under 2 s: what a break hides counts as told then
 PHASES = {"Ready": Availability.READY, "Terminating": Availability.DRAINING, "Gone": Availability.GONE}
 
-Changed = Callable[[Scope, Sequence[Desk]], None]
-
 
 class Board:
     """Follows the list of desks by long polls on one connection."""
--- a/seamlb/discovery/consul.py
+++ b/seamlb/discovery/consul.py
@@ -14,10 +14,9 @@
 from seamlb import log
 from seamlb.discovery.poller import Poller, PollFailed
 from seamlb.net.reason import CloseReason
-from seamlb.routing.model import Availability, Desk, Scope
+from seamlb.routing.model import Availability, Changed, Desk, Scope
 
 BACK_OFF_FIRST, BACK_OFF_MOST = 0.5, 30.0
-Changed = Callable[[Scope, Sequence[Desk]], None]
 
 
 @dataclass(slots=True, frozen=True)
--- a/seamlb/routing/model.py
+++ b/seamlb/routing/model.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
 from seamlb.api import Availability, Scope, Settings, Status
 
 __all__ = [
-    "Advisor", "Answer", "Attempt", "Availability", "Caller", "Desk", "DeskClient", "Guide", "Heard", "Discovery",
-    "Outcome", "Peers", "Request", "Scope", "Status",
+    "Advisor", "Answer", "Attempt", "Availability", "Caller", "Changed", "Desk", "DeskClient", "Discovery", "Guide",
+    "Heard", "Outcome", "Peers", "Request", "Scope", "Status",
 ]
 
 
@@ -111,6 +111,9 @@
         """Close idle connections."""
 
 
+Changed = Callable[[Scope, Sequence[Desk]], None]  # takes a source's news of the list
+
+
 class Discovery(Protocol):
     """Brings the list of desks to the core until it is stopped."""
 
--- a/seamlb/subsystems/lists.py
+++ b/seamlb/subsystems/lists.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable, Coroutine
 
 from seamlb.config import Config
-from seamlb.discovery.board import Board, Changed
+from seamlb.discovery.board import Board
 from seamlb.discovery.consul import Consul
 from seamlb.extras import Plugins
 from seamlb.routing.agent import Agent
-from seamlb.routing.model import Discovery
+from seamlb.routing.model import Changed, Discovery
 from seamlb.subsystems import Subsystem
 
 KNOW = 1.5  # seconds that the first list waits for the sources that are silent
--- a/tests/test_desk_silence.py
+++ b/tests/test_desk_silence.py
@@ -4,42 +4,45 @@
 from unittest import mock
 
 from seamlb import api
+from seamlb.daemon import Daemon
 from seamlb.desks.platform import QUIET, RETRY_MOST, UNREACHABLE
 from seamlb.net.connection import ConnectFailed, Connection
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.sip import Message
-from tests.loopback import SDP, ScriptedDesk, Story, bye, invite, silent
+from tests.loopback import SDP, Peer, ScriptedDesk, Story, bye, invite, silent
+
+STATE = Message("NOTIFY", "sip:exchange@net", headers=[
+    ("Call-ID", "0"), ("CSeq", "1 NOTIFY"), ("X-Occupancy", "idle:4;circuits:5")])
 
 
 class Silence(Story):
-    async def test_what_stood_behind_a_connection_that_fell_silent_is_cut_once_its_process_is_gone(self) -> None:
-        # The desk drained, so no set-up went there; its end came on a connection that brought nothing any more, and
-        # its callers were owed the release within 8 s while the list was 7 s late.
+    async def standing(self) -> tuple[ScriptedDesk, Daemon, Peer]:
+        """A desk, a daemon and a caller whose call stands there."""
         desk = ScriptedDesk()
         daemon = await self.start(desk)
         caller = await self.caller()
         caller.send(invite())
         await caller.until(200)
+        return desk, daemon, caller
+
+    async def test_what_stood_behind_a_connection_that_fell_silent_is_cut_once_its_process_is_gone(self) -> None:
+        # The desk drained, so no set-up went there; its end came on a connection that brought nothing any more, and
+        # its callers were owed the release within 8 s while the list was 7 s late.
+        desk, daemon, caller = await self.standing()
         drains = self.desk(0, desk.address, api.Availability.DRAINING)
         daemon.agent.list_changed(api.Scope.DELTA, [drains])
-        state = Message("NOTIFY", "sip:exchange@net", headers=[
-            ("Call-ID", "0"), ("CSeq", "1 NOTIFY"), ("X-Occupancy", "idle:4;circuits:5")])
         desk.server.close()  # what is open stays open, and nothing comes on it
         heard = desk.peers[0]
         await self.eventually(lambda: self.events("connection_end"))  # refused: as a desk that drains would
         self.assertTrue(daemon.agent.lives)
-        heard.send(state)
+        heard.send(STATE)
         told = asyncio.get_running_loop().time()
         self.assertIn("cause=41", (await caller.until("BYE")).get("reason"))
         self.assertGreater(asyncio.get_running_loop().time() - told, UNREACHABLE - 0.1)  # its calls had that long
         self.assertLess(UNREACHABLE + RETRY_MOST + daemon.config.connect_timeout, 8.0)
 
     async def test_a_desk_that_drains_refuses_connections_and_keeps_its_calls(self) -> None:
-        desk = ScriptedDesk()
-        await self.start(desk)
-        caller = await self.caller()
-        caller.send(invite())
-        await caller.until(200)
+        desk, _, caller = await self.standing()
         desk.server.close()
         await self.eventually(lambda: len(self.events("connection_end")) > 2)
         self.assertEqual({one["reason"] for one in self.events("connection_end")}, {"refused"})
@@ -47,11 +50,7 @@
         self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
 
     async def test_a_quiet_desk_with_calls_is_tested_and_its_calls_stay(self) -> None:
-        desk = ScriptedDesk()
-        daemon = await self.start(desk)
-        caller = await self.caller()
-        caller.send(invite())
-        await caller.until(200)
+        desk, daemon, caller = await self.standing()
         await self.eventually(lambda: len(desk.peers) == 2)  # told its state on the new one: it lives
         await self.eventually(lambda: len(daemon.desks.links["d0"].open) == 1)
         desk.peers[1].send(bye("00000000000000a1", 16))
@@ -74,11 +73,7 @@
         late, refused = CloseReason.CONNECT_TIMEOUT, CloseReason.REFUSED
         for tries in ([late, refused, refused], [refused, late, refused], [late, late, refused]):
             with self.subTest(tries=tries):
-                desk = ScriptedDesk()
-                daemon = await self.start(desk)
-                caller = await self.caller()
-                caller.send(invite())
-                await caller.until(200)
+                desk, daemon, caller = await self.standing()
                 drains = self.desk(0, desk.address, api.Availability.DRAINING)
                 daemon.agent.list_changed(api.Scope.DELTA, [drains])
                 left = list(tries)
@@ -96,11 +91,7 @@
                     self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
 
     async def test_no_set_up_goes_to_a_silent_connection_beside_which_none_comes_up_until_it_is_heard(self) -> None:
-        desk = ScriptedDesk()
-        daemon = await self.start(desk)
-        caller = await self.caller()
-        caller.send(invite())
-        await caller.until(200)
+        desk, daemon, caller = await self.standing()
 
         async def connect(address: str, kind: str, within: float) -> Connection:
             raise ConnectFailed(CloseReason.CONNECT_TIMEOUT)
@@ -111,8 +102,7 @@
             self.assertGreater(asyncio.get_running_loop().time() - link.open[-1].last_read, QUIET)
             caller.send(invite("00000000000000a2"))
             self.assertEqual((await caller.next()).status, 503)
-            state = [("Call-ID", "0"), ("CSeq", "1 NOTIFY"), ("X-Occupancy", "idle:4;circuits:5")]
-            desk.peers[0].send(Message("NOTIFY", "sip:exchange@net", headers=state))
+            desk.peers[0].send(STATE)
             await self.eventually(lambda: not link.dead)
             caller.send(invite("00000000000000a3"))
             self.assertEqual((await caller.next()).status, 200)
