Take the cold budget from a bound on all processes' sum, and count replaced desks' lines once

Cause, found by playing controllers on a virtual clock: - `_room` used six tenths of N whatever N and the number of processes are. With 200 processes and N = 50, Chernoff's bound allows 0.81, with N = 400 0.92, with N = 2 only 0.53.

--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -27,7 +27,7 @@
 FADE_MS = 30000.0  # ours: time constant of this node's rate of answers
 USUAL = 2.0  # ours: answers that what the settings let a node expect weighs as much as
 SILENT_TIMES = 2.0  # ours: a server is silent after this many times its recent slowness
-COLD_SAFETY = 0.6  # ours: part of rule 4's budget that is used; repeats and rejects count there too
+CHANCE = 1e-3  # ours: bound on the chance that all nodes together send a cold server too much in a window
 SPILL = 4.0  # ours: spill may fill a server up to this many times its part by lines
 SPILL_BURST = 2.0  # ours: spilt calls at once
 STALL_MS = 250.0  # ours: a longer gap between two events is a stall of this node; its beat comes at half
@@ -43,6 +43,19 @@
 LIGHT_MS = 20.0  # ours: a delay that hardly counts against a route
 
 
+def cold_budget(allowed: float, nodes: int) -> tuple[float, float]:
+    """What part of rule 4's N all nodes together use, and the tokens that each may save up.
+
+    Chernoff's bound for sums of sends that know nothing of each other: docs/design/cold-start.md.
+    """
+    falls = allowed + 2.0 * math.sqrt(allowed) + 2.0
+    rarity = 1.0 - math.log(CHANCE) / falls
+    mean = math.exp(-rarity)  # part of `falls`; Newton's steps solve mean - log(mean) = rarity
+    for _ in range(6):
+        mean -= (mean - math.log(mean) - rarity) / (1.0 - 1.0 / mean)
+    return mean * falls / allowed, max(1.0, (1.0 - mean) * falls / nodes)
+
+
 # -- controller: N, x, conditions, levels -------------------------------------------------------
 
 
@@ -139,20 +152,14 @@
         return self.circuits if 0 < self.circuits < math.inf else 1.0
 
     def silent(self, now: float, awake: float, patience: float) -> bool:
-        """Nothing back since the oldest set-up unanswered; harms when a queue jumps between answers.
-
-        One that let a set-up run out of time so gets one call now and then until it is heard again.
-        """
+        """Nothing back since the oldest set-up unanswered; after a time-out it is tried now and then."""
         if self.heard < self.lost:
             return bool(self.pending) or awake - self.sent < RECOVER_MS
         oldest = next((sent for _, sent, _ in self.pending.values()), math.inf)
         return self.heard <= oldest and awake - oldest > max(patience, SILENT_TIMES * self.wait.get(now))
 
     def shows(self, now: float, width: float, reserve: float) -> bool:
-        """Does it show free lines enough? Word older than RECOVER_MS counts no more.
-
-        Cheaper ranks leave some to dearer ones; harms where lines are many and processors run short.
-        """
+        """Does it show free lines enough? Cheaper ranks leave some to dearer ones; reports age."""
         left = self.idle - reserve * math.sqrt(self.size())
         return left >= width or now - self.told > RECOVER_MS
 
@@ -176,9 +183,9 @@
         self.turned: dict[tuple[int, int, int], tuple[float, float, int]] = {}  # first try, latest, over
         self.busy: dict[int, float] = {}  # number called: until when none of its lines is worth asking for
         self.share_room: dict[int, tuple[float, float]] = {}
-        self.taken = Fading(FADE_MS)  # answers of all servers to this node, per ms
+        self.taken = Fading(FADE_MS)  # answers of all servers to this node, per ms and line
         self.streak = max(1, round(STREAK / settings.instances))
-        self.began, self.lines = math.inf, 0.0  # clock time of the first event; sum of the servers' sizes
+        self.began, self.lines = math.inf, 1.0  # clock time of the first event; sum of the servers' sizes
         self.ranks: dict[tuple[int, int, int], int] = {}
         self._tune(settings)
 
@@ -186,13 +193,11 @@
         """Take settings, at the start or anew: what is known of calls and servers stays."""
         self.set, live = settings, sorted(settings.kinds.values())
         # T_k: the class's aim, all scaled down so that the longest ends where a waiting set-up is repeated.
-        # Guards against waits at which a processor works for nothing; could harm where aims are near Repeat.
         self.longest = max(settings.classes[place].on_time for place in live)
         part = min(1.0, settings.repeat / self.longest) if settings.repeat else 1.0
         limit = [kind.on_time * part for kind in settings.classes]
         self.limits = sorted({limit[place] for place in live})
-        # Ranks by the paper's U, dearest first; traffic over a tenant's share is a class of its own, and so
-        # are redials past their aim: a line given to one would be taken from a call of full worth.
+        # Ranks by the paper's U, dearest first; calls over a share and late redials are classes of their own.
         shares = (1.0, settings.over_share_worth) if settings.allowances else (1.0,)
         known = sorted(
             (-kind.worth * share * part / kind.width, late, over, place)
@@ -219,8 +224,7 @@
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take one event at clock time `now`; returns the actions in order."""
         self.out, self.began = [], min(self.began, now)
-        # A stall of this node is no evidence of any server: the awake clock leaves it out, and nothing is
-        # detected in its batch. A beat tells stalls from sparse events.
+        # A stall of this node is no evidence of any server: the awake clock leaves it out.
         if now - self.last > STALL_MS:
             self.stalled = now
         else:
@@ -259,14 +263,14 @@
     def _part(self, now: float, core: Core) -> float:
         """Set-ups per millisecond this node may count on from a server of this size once it is warm.
 
-        Its part by lines of all answers to this node, which begins at its part of all allowances. Guards
-        rule 4 and the floors where a node meets a server once in seconds, and a node just started against
-        refusing what it has no answers to count for; harms where lines or allowances tell little.
+        Its part by lines of all answers to this node, which begins at its part of all allowances.
         """
         count, span = self.usual
         span += 1.0 - math.exp((self.began - now) / FADE_MS)  # the rate began at nought
-        rate = (count + self.taken.get(now)) / span if span else 0.0
-        return max(rate * core.size() / max(self.lines, 1.0), 1.0 / FADE_MS)  # at least a trickle
+        rate = (count / self.lines + self.taken.get(now)) / span if span else 0.0
+        cold = now - core.cold_from < self.set.contract.cold
+        # At least a trickle, which of all nodes together must not be much where a server is cold.
+        return max(rate * core.size(), 1.0 / FADE_MS / (self.set.instances if cold else 1))
 
     def _detect(self, now: float, core: Core) -> None:
         if now == self.stalled:
@@ -306,7 +310,6 @@
             core.opens.pop(rank, None)
             return True
         gap = 1.0 / self.floors(now, core)[rank]
-        # Intervals begin at random: else each newly gapped rank would pass a call at once on every node.
         return now >= core.opens.setdefault(rank, now + gap * self.rng.random())
 
     def _over_share(self, now: float, tenant: int) -> int:
@@ -365,17 +368,16 @@
         core.heard = self.awake
 
     def _room(self, now: float, core: Core, spills: bool) -> bool:
-        """Rule 4: this node's part of what a cold server can do, with no early burst; spill is bounded too.
-
-        Guards small servers against all nodes' spill, which no N shows; harms where lines tell little.
-        """
+        """Rule 4: this node's part of what a cold server may get; spill onto warm servers is bounded too."""
         rules = self.set.contract
         warmed = (now - core.cold_from) / rules.cold
-        grown, top = SPILL, SPILL_BURST
+        part, grown, top = self._part(now, core), SPILL, SPILL_BURST
         if warmed < 1.0:
             grown = rules.start_capacity + (1.0 - rules.start_capacity) * max(warmed, 0.0)
-            grown, top = grown * rules.fall_multiple * COLD_SAFETY, 1.0
-        core.tokens = min(top, max(core.tokens, -top) + (now - core.filled) * self._part(now, core) * grown)
+            grown *= rules.fall_multiple
+            used, top = cold_budget(part * grown * rules.fall * self.set.instances, self.set.instances)
+            grown *= used
+        core.tokens = min(top, max(core.tokens, -top) + (now - core.filled) * part * grown)
         core.filled = now
         return core.tokens >= 1.0 or (warmed >= 1.0 and not spills)
 
@@ -408,20 +410,13 @@
             self.out.append(api.ReportFailure(call.ident))
 
     def _busy(self, now: float, key: int) -> None:
-        """All lines of a number are busy: who calls it now is turned away here, at no cost to a server.
-
-        Guards processors against a crowd that wants one number; harms when a line is free again sooner.
-        """
+        """All lines of a number are busy: who calls it now is turned away here, at no cost to a server."""
         self.busy = {known: until for known, until in self.busy.items() if until > now}
         if key:
             self.busy[key] = now + BUSY_MS
 
     def _turn(self, now: float, call: Call) -> None:
-        """Remember a caller that leaves without its call: the same number soon again is its redial.
-
-        Guards against counting one call as several in a tenant's share, and against taking late ones for
-        new; harms where many callers want one number.
-        """
+        """Remember a caller that leaves without its call: the same number soon again is its redial."""
         while self.turned and (next(iter(self.turned.values()))[1] < now - self.patience
                                or len(self.turned) >= TURNED):
             del self.turned[next(iter(self.turned))]
@@ -461,7 +456,7 @@
             core.wait.put(now, delay)
             core.answered(False)
             self._overtake(core, pending[1])
-            self.taken.put(now, self.taken.get(now) + 1.0 / FADE_MS)
+            self.taken.put(now, self.taken.get(now) + 1.0 / FADE_MS / self.lines)
             self._detect(now, core)
 
     def _overtake(self, core: Core, sent: float) -> None:
@@ -490,8 +485,7 @@
             if missed and core.heard <= pending[1]:
                 core.lost = self.awake
             if turned_away or missed:
-                # Its limit was missed for certain, yet it leaves N and never enters x. Guards against a
-                # jam that (4) and (6) cannot see, slow or silent servers too; harms on a lossy line.
+                # Its limit was missed for certain, yet it leaves N and never enters x.
                 core.verdicts.extend([2] * STREAK)
                 core.level = 2
                 core.wait.put(now, max(core.wait.get(now), self.longest))
@@ -532,7 +526,7 @@
         seen = dict(zip(self.set.fields, report, strict=False))
         if "idle" in seen:
             core.idle, core.circuits, core.told = seen["idle"], seen.get("circuits", core.circuits), now
-            self._count()
+            self._count(now)
         if 0.0 <= seen.get("avg_ms", -1.0) < math.inf:
             core.wait.put(now, seen["avg_ms"])
 
@@ -557,10 +551,13 @@
                 self.cores[entry.server] = new
             else:
                 core.entry = entry
-        self._count()
+        self._count(now)
         self.listed = True
 
-    def _count(self) -> None:
-        """Lines of the servers that take new calls: a draining one's share of the work is the others' now."""
-        ready = api.Availability.READY
-        self.lines = sum(one.size() for one in self.cores.values() if one.entry.availability == ready)
+    def _count(self, now: float) -> None:
+        """Lines of the servers; of one that drains and its cold successor one counts."""
+        cold = self.set.contract.cold
+        up = api.Availability.READY
+        ready = sum(one.size() for one in self.cores.values() if one.entry.availability == up)
+        warm = sum(one.size() for one in self.cores.values() if now - one.cold_from >= cold)
+        self.lines = max(ready, warm, 1.0)
--- a/tests/support.py
+++ b/tests/support.py
@@ -55,3 +55,10 @@
 
 def sent_to(actions: list[api.Action]) -> list[int]:
     return [action.server for action in actions if isinstance(action, api.CallOut)]
+
+
+def cold_allowance(made: api.Settings, capacity: float, age: float) -> float:
+    """Rule 4's N: what a server of `capacity` set-ups a ms once warm may get in a window `age` ms after its start."""
+    rules = made.contract
+    ramp = min(1.0, rules.start_capacity + (1.0 - rules.start_capacity) * max(age, 0.0) / rules.cold)
+    return rules.fall_multiple * ramp * capacity * rules.fall
