Keep signals at start and exit, half-read set-ups and a crowd of callers from costing calls

Found by reading the code for what crosses; each was seen to fail on by the test that is named: - A SIGHUP before the daemon had its handler ended the process (default action; `__main__`, `Daemon.run`). At the exit the handler was put back to the default for a moment (`remove_signal_handler`); signals are blocked there now. test_signals.Starts, Deployed. - A drain ended 0.7 s after SIGTERM when nothing was open, though a set-up was half read or still in a socket: it was lost with the process (`Lifecycle.over`, `spares`). Connections now go one by one from then on, each at a moment without an open, half-read or unread set-up, and the process ends with the last. test_signals.Drains, Crossings. test_lifecycle's assertions on the old end are replaced by ones on the new. - Up to 128 connections are accepted in one turn of the loop, and the limit was looked at in coroutines after it: with 64 descriptors accept failed (EMFILE). A connection now takes its place at once (`Listener.handle_stream`). Callers' limit was 0.6 of all whatever else is held: it is what own needs, operators and two connections to each listed server leave, and never under the third that the platform's callers hold (`net/descriptors.py`). A connect without a descriptor raised out of the task that keeps a server's connection; it is a failed connect now. test_descriptors.Crowded (EMFILE in the log before). - Each of hundreds of callers that never read could have 1 MiB waiting; it is 128 KiB. The two tests with 5 descriptors have 9 now, for the same 3 callers.

--- a/seamlb/admin.py
+++ b/seamlb/admin.py
@@ -9,7 +9,7 @@
 import click
 import orjson
 
-from seamlb.net.connection import split_address
+from seamlb.net.address import split_address
 
 CALLS = {  # method, and what it is for
     "health": ("GET", "Is the agent ready?"),
--- a/seamlb/cli.py
+++ b/seamlb/cli.py
@@ -13,7 +13,7 @@
 from seamlb import __version__, config, extras, log
 from seamlb.daemon import Daemon
 from seamlb.hook import Hook, HookError
-from seamlb.net.connection import not_listening
+from seamlb.net.address import not_listening
 
 CONFIG = click.option(
     "--config", "path", envvar="GW_CONFIG", required=True, metavar="FILE",
--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -10,7 +10,7 @@
 import orjson
 
 from seamlb import api
-from seamlb.net.connection import split_address
+from seamlb.net.address import split_address
 from seamlb.protocol.notices import parse_notices
 
 
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -14,12 +14,13 @@
 from seamlb.desks.platform import PlatformDesks
 from seamlb.desks.sip import SipDesks
 from seamlb.extras import Plugins
-from seamlb.fronts.management import ManagementFront
+from seamlb.fronts import management
 from seamlb.fronts.platform import PlatformFront
 from seamlb.fronts.sip import SipFront
 from seamlb.hook import Hook
 from seamlb.lifecycle import Lifecycle
-from seamlb.net.connection import split_address
+from seamlb.net import descriptors
+from seamlb.net.address import split_address
 from seamlb.routing.agent import Agent, Clock
 from seamlb.routing.model import Discovery, Request
 from seamlb.sip.endpoint import SipEndpoint
@@ -32,7 +33,6 @@
 TAKEN_OVER = ("board", "known", "member_keys", "raw", *SETTINGS)  # by SIGHUP, beside what subsystems take
 TEND_EVERY = 0.05  # seconds between two looks at what the lifecycle wants of listeners and connections
 KNOW = 1.5  # seconds that a process which takes over waits for the board and the desks' state before it is ready
-CLIENT_SHARE = 0.6  # part of the descriptors that callers may hold; the platform says they take a third
 
 
 class Daemon:
@@ -54,7 +54,9 @@
             settings, config.seed, config.max_open, clock, observe=self._observe if self.hook else None,
             advisor=rules.service.advisor if rules else None)
         self.agent.leaving = lambda: not self.lifecycle.takes(asyncio.get_running_loop().time())
-        self.front = PlatformFront(self.agent, self.lifecycle, config.listen, int(config.sockets * CLIENT_SHARE))
+        self.sockets = descriptors.available(config.sockets)
+        self.operators = descriptors.for_operators(self.sockets, management.MOST)
+        self.front = PlatformFront(self.agent, self.lifecycle, config.listen, self._client_limit())
         self.peers = PeerLink(config, self.agent) if config.peer_listen and settings.limits.peers else None
         self.parts: list[Subsystem] = [self.peers] if self.peers else []
         self.parts += build(config, plugins, self.agent)
@@ -66,7 +68,8 @@
             self.parts.append(rules)
         more = {path: table for part in self.parts for path, table in part.tables().items()}
         orders = {path: order for part in self.parts for path, order in part.orders().items()}
-        self.management = ManagementFront(config.management, self.lifecycle, self.figures, more, orders)
+        self.management = management.ManagementFront(
+            config.management, self.lifecycle, self.figures, more, orders, self.operators)
         classify = self.hook.classify if self.hook else None
         self.sip = SipFront(self.agent, self.lifecycle, plugins.sip, classify) if plugins.sip else None
         self.desks: PlatformDesks | SipDesks
@@ -81,6 +84,10 @@
         self.following: list[asyncio.Task[None]] = []  # tasks that end with the daemon
         self.term = asyncio.Event()
 
+    def _client_limit(self) -> int:
+        """Connections that callers may hold beside those to the servers of the list."""
+        return descriptors.for_clients(self.sockets, len(self.agent.listed), self.operators)
+
     def _every(self, seconds: float, where: str, step: Callable[[], None]) -> None:
         """Do something again and again while the daemon runs; a fault in it is logged and must not end the calls."""
         async def go() -> None:
@@ -141,8 +148,9 @@
         log.event("serving", name=config.name, listen=config.listen, version=__version__)
 
     def tend(self) -> None:
-        """Have the fronts do what the lifecycle says now."""
+        """Have the fronts do what the lifecycle and the list of servers say now."""
         now = asyncio.get_running_loop().time()
+        self.front.listener.set_limit(self._client_limit())
         self.front.tend(now)
         if self.sip:
             self.sip.tend(now)
@@ -212,6 +220,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.term.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came during the start is heard now
         await self.start()
         await self.term.wait()
         self.lifecycle.terminate(loop.time())
@@ -227,9 +236,8 @@
             await self.agent.idle.wait()
         self.lifecycle.ended(loop.time())
         await self.close()
-        # The loop puts the default back when it closes: a SIGHUP until the exit must not end the drain as a crash.
-        loop.remove_signal_handler(signal.SIGHUP)
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        # The loop puts the defaults back when it closes: a signal until the exit must not end the drain as a crash.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
         log.event("ended", taken=self.agent.taken)
 
     async def close(self) -> None:
--- a/seamlb/desks/sip.py
+++ b/seamlb/desks/sip.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from seamlb import log
-from seamlb.net.connection import split_address
+from seamlb.net.address import split_address
 from seamlb.protocol.dialog import Dialog
 from seamlb.protocol.report import NOTES, parse_report
 from seamlb.protocol.sip import Message, digits, parameter, response
--- a/seamlb/extras.py
+++ b/seamlb/extras.py
@@ -15,7 +15,7 @@
 from seamlb.discovery.consul import ConsulConfig
 from seamlb.fronts.sip import SipFrontConfig
 from seamlb.members.table import MemberKeys, MembersConfig, load_keys
-from seamlb.net.connection import split_address
+from seamlb.net.address import split_address
 
 if TYPE_CHECKING:
     from seamlb.agree.table import Agreed
--- a/seamlb/fronts/management.py
+++ b/seamlb/fronts/management.py
@@ -10,7 +10,8 @@
 
 from seamlb import log
 from seamlb.lifecycle import Lifecycle
-from seamlb.net.connection import Connection, Listener
+from seamlb.net.connection import Connection
+from seamlb.net.listener import Listener
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.http import HttpError, Request, RequestReader, answer
 
@@ -24,11 +25,13 @@
 class Calls:
     """Listens on an address for calls: by path their method, and what answers them."""
 
-    def __init__(self, kind: str, address: str, calls: Mapping[str, tuple[str, Call]]) -> None:
+    def __init__(
+        self, kind: str, address: str, calls: Mapping[str, tuple[str, Call]], most: int = MOST
+    ) -> None:
         self.kind = kind
         self.address = address
         self.calls = dict(calls)
-        self.listener = Listener(kind, MOST, self._serve)
+        self.listener = Listener(kind, most, self._serve)
 
     def start(self) -> None:
         self.listener.start_at(self.address)
@@ -70,14 +73,14 @@
     def __init__(
         self, address: str, lifecycle: Lifecycle, figures: Callable[[], Mapping[str, Any]],
         more: Mapping[str, Callable[[], Mapping[str, Any]]] | None = None,
-        orders: Mapping[str, Callable[[str], str]] | None = None,
+        orders: Mapping[str, Callable[[str], str]] | None = None, most: int = MOST,
     ) -> None:
         super().__init__("management", address, {
             "/admin/health": ("GET", self._health),
             "/admin/stats": ("GET", _showing(figures)),
             "/admin/quiesce": ("POST", self._quiesce),
             "/admin/resume": ("POST", self._resume),
-        })
+        }, most)
         self.lifecycle = lifecycle
         for path, told in (more or {}).items():
             self.calls[path] = ("GET", _showing(told))
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -11,8 +11,9 @@
 from seamlb import log
 from seamlb.fronts.figures import BadCall, figures, patience
 from seamlb.lifecycle import Lifecycle
-from seamlb.net.connection import Connection, Listener
+from seamlb.net.connection import MAX_UNSENT_CLIENT, Connection
 from seamlb.net.lag import Lag
+from seamlb.net.listener import Listener
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.sip import MAX_MESSAGE, Framer, Message, SipError, digits, parameter, response
 from seamlb.routing.agent import Agent, Life
@@ -76,7 +77,7 @@
         self.agent = agent
         self.lifecycle = lifecycle
         self.address = address
-        self.listener = Listener("client", limit, self._serve)
+        self.listener = Listener("client", limit, self._serve, MAX_UNSENT_CLIENT)
         self.clients: set[Client] = set()
         self.calls: dict[str, Call] = {}
         self.spoilt: dict[str, None] = {}
--- a/seamlb/lifecycle.py
+++ b/seamlb/lifecycle.py
@@ -91,13 +91,14 @@
         """How long a connection without an open set-up may have been quiet and stay; infinite: all of them stay.
 
         Guards set-ups that cross the close: the front stops sending new connections first, and a connection in
-        use is given the chance of a pause. A process that ends with its socket keeps all to the end, as callers
-        have nowhere else to go before the front has noticed.
+        use is given the chance of a pause. A process that ends with its socket keeps all until its listener closes,
+        as callers have nowhere else to go before the front has noticed; then each goes at its first moment without
+        an open set-up, and not with the process, which would break off a set-up that is half read.
         """
+        after = now - self.since
         if self.phase is Phase.QUIESCING or (self.phase is Phase.DRAINING and self.shared):
-            after = now - self.since
             return math.inf if after < SETTLE else CALM if after < HURRY else 0.0
-        return math.inf
+        return 0.0 if self.phase is Phase.DRAINING and now >= self.since + KEEP_TAKING else math.inf
 
     @property
     def keeps_standing(self) -> bool:
@@ -117,9 +118,9 @@
         return self.since + KEEP_TAKING + max(0.0, min(self.longest, most) - DRAIN_MARGIN)
 
     def over(self, now: float, unanswered: int, connections: int) -> bool:
-        """May the process end? With a shared socket only without callers, as nobody else can serve those it has."""
+        """May the process end? Only without callers, as nobody else can serve those it has."""
         if self.phase is not Phase.DRAINING:
             return self.phase is Phase.ENDED
         if now >= self.answers_by():
             return True
-        return unanswered == 0 and (connections == 0 if self.shared else now >= self.since + KEEP_TAKING)
+        return unanswered == connections == 0 and (self.shared or now >= self.since + KEEP_TAKING)
--- a/seamlb/members/link.py
+++ b/seamlb/members/link.py
@@ -13,7 +13,7 @@
 from seamlb.members.swim import Out, Swim
 from seamlb.members.table import MemberKeys, MembersConfig
 from seamlb.members.wire import NAME_MOST, Guard, Status
-from seamlb.net.connection import split_address
+from seamlb.net.address import split_address
 from seamlb.net.datagram import Endpoint
 
 TICK = 0.1  # seconds
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -9,14 +9,15 @@
 from typing import Any
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
-from tornado.tcpserver import TCPServer
 
 from seamlb import log
+from seamlb.net.address import family, split_address
 from seamlb.net.reason import CloseReason
 
 READ_CHUNK = 64 * 1024
 TURN = 16 * 1024  # bytes read from one connection before the others have their turn, as floods come
 MAX_UNSENT = 1024 * 1024
+MAX_UNSENT_CLIENT = 128 * 1024  # of each of hundreds of callers, who may all never read
 WRITE_TIMEOUT = 5.0
 # From accept to the first whole message, and from a later message's first byte to its last: who says nothing or
 # never ends must be gone within 3 s. Between messages a caller may be idle for as long as there is room.
@@ -36,33 +37,6 @@
         self.reason = reason
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """`host:port`, the port a number; ValueError otherwise."""
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"not host:port: {address!r}")
-    return host.strip("[]"), int(port)
-
-
-def family(host: str) -> socket.AddressFamily:
-    """The address family of a host as `split_address` gives it."""
-    return socket.AF_INET6 if ":" in host else socket.AF_INET
-
-
-def not_listening(descriptor: int) -> str:
-    """Why a descriptor that was handed down can't be listened on; empty if it can."""
-    try:
-        sock = socket.socket(fileno=descriptor)
-    except OSError as error:
-        return error.strerror or str(error)
-    try:
-        return "" if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN) else "not a listening socket"
-    except OSError as error:
-        return error.strerror or str(error)
-    finally:
-        sock.detach()
-
-
 class Connection:
     """One connection; whoever calls `run` gets its bytes until it ends."""
 
@@ -253,7 +227,12 @@
 async def connect(address: str, kind: str, timeout: float) -> Connection:
     """Open a connection; ConnectFailed says why there is none, and its log line is written."""
     host, port = split_address(address)
-    stream = IOStream(socket.socket(family(host)), max_buffer_size=4 * READ_CHUNK, max_write_buffer_size=MAX_UNSENT)
+    try:
+        sock = socket.socket(family(host))
+    except OSError:  # no descriptor is left
+        log.event("connection_end", kind=kind, peer=address, reason=CloseReason.LIMIT.value)
+        raise ConnectFailed(CloseReason.LIMIT) from None
+    stream = IOStream(sock, max_buffer_size=4 * READ_CHUNK, max_write_buffer_size=MAX_UNSENT)
     try:
         await asyncio.wait_for(stream.connect((host, port)), timeout)
     except TimeoutError:
@@ -272,69 +251,3 @@
     stream.close()
     log.event("connection_end", kind=kind, peer=address, reason=reason.value)
     raise ConnectFailed(reason)
-
-
-class Listener(TCPServer):
-    """Accepts connections on one address; at most `limit` at a time, of which idle ones give way to new ones."""
-
-    def __init__(self, kind: str, limit: int, accepted: Callable[[Connection], Any]) -> None:
-        super().__init__(max_buffer_size=4 * READ_CHUNK)
-        self.kind = kind
-        self.limit = limit
-        self.accepted = accepted
-        self.open: dict[Connection, None] = {}  # the longest without a message first
-        self.port = 0
-
-    def start_at(self, address: str) -> None:
-        """Listen on this address only."""
-        host, port = split_address(address)
-        sock = socket.socket(family(host))
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, port))
-        sock.listen(512)
-        self._start(sock)
-
-    def start_on(self, descriptor: int) -> None:
-        """Listen on a socket that was handed down; other processes may accept from it too.
-
-        It is closed at the end and never shut down, as that would end it for them as well.
-        """
-        self._start(socket.socket(fileno=descriptor))
-
-    def _start(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        self.port = sock.getsockname()[1]
-        self.add_socket(sock)
-
-    async def handle_stream(self, stream: IOStream, address: Any) -> None:
-        """Tornado's entry for an accepted connection."""
-        stream.max_write_buffer_size = MAX_UNSENT
-        connection = Connection(stream, self.kind, f"{address[0]}:{address[1]}")
-        if len(self.open) >= self.limit and not self._make_room():
-            return connection.close(CloseReason.LIMIT)  # descriptors are kept for desks and the board
-        self.open[connection] = None
-        connection.expect()
-        try:
-            await self.accepted(connection)
-        finally:
-            self.open.pop(connection, None)
-
-    def used(self, connection: Connection) -> None:
-        """A message came on it: it is the last to give way."""
-        if connection in self.open:
-            del self.open[connection]
-            self.open[connection] = None
-
-    def _make_room(self) -> bool:
-        """Close an idle connection: of least credit, and of these the one idle for longest.
-
-        Guards good callers against hundreds that connect and say nothing, or ask once and stay for good: who has
-        been served gives way last.
-        """
-        idle = [one for one in self.open if not one.in_use()]
-        if not idle:
-            return False
-        one = min(idle, key=lambda one: -1 if one.ending else one.credit)  # of equals the first, so the oldest
-        del self.open[one]
-        one.close(one.ending or CloseReason.EVICTED)
-        return True
--- a/seamlb/net/datagram.py
+++ b/seamlb/net/datagram.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from seamlb import log
-from seamlb.net.connection import family, split_address
+from seamlb.net.address import family, split_address
 
 Received = Callable[[bytes, tuple[str, int]], None]
 
--- /dev/null
+++ b/seamlb/net/listener.py
@@ -0,0 +1,97 @@
+"""Accepts TCP connections, as many as descriptors may be had for."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from tornado.iostream import IOStream
+from tornado.tcpserver import TCPServer
+
+from seamlb.net.address import family, split_address
+from seamlb.net.connection import MAX_UNSENT, READ_CHUNK, Connection
+from seamlb.net.reason import CloseReason
+
+
+class Listener(TCPServer):
+    """Accepts connections on one address; at most `limit` at a time, of which idle ones give way to new ones."""
+
+    def __init__(
+        self, kind: str, limit: int, accepted: Callable[[Connection], Any], max_unsent: int = MAX_UNSENT
+    ) -> None:
+        super().__init__(max_buffer_size=4 * READ_CHUNK)
+        self.kind = kind
+        self.limit = limit
+        self.accepted = accepted
+        self.max_unsent = max_unsent
+        self.open: dict[Connection, None] = {}  # the longest without a message first
+        self.port = 0
+
+    def start_at(self, address: str) -> None:
+        """Listen on this address only."""
+        host, port = split_address(address)
+        sock = socket.socket(family(host))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(512)
+        self._start(sock)
+
+    def start_on(self, descriptor: int) -> None:
+        """Listen on a socket that was handed down; other processes may accept from it too.
+
+        It is closed at the end and never shut down, as that would end it for them as well.
+        """
+        self._start(socket.socket(fileno=descriptor))
+
+    def _start(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self.port = sock.getsockname()[1]
+        self.add_socket(sock)
+
+    def handle_stream(self, stream: IOStream, address: Any) -> Awaitable[None] | None:
+        """Tornado's entry for an accepted connection.
+
+        It takes its place, or is closed, at once: many are accepted in one turn of the loop, and coroutines run after
+        it, so that descriptors kept for servers and discovery would be gone before the limit was looked at.
+        """
+        stream.max_write_buffer_size = self.max_unsent
+        connection = Connection(stream, self.kind, f"{address[0]}:{address[1]}")
+        if len(self.open) >= self.limit and not self._make_room():
+            connection.close(CloseReason.LIMIT)
+            return None
+        self.open[connection] = None
+        connection.expect()
+        return self._hold(connection)
+
+    async def _hold(self, connection: Connection) -> None:
+        try:
+            await self.accepted(connection)
+        finally:
+            self.open.pop(connection, None)
+
+    def set_limit(self, limit: int) -> None:
+        """Hold at most so many from now on; idle ones beyond that are closed."""
+        self.limit = limit
+        while len(self.open) > limit and self._make_room():
+            pass
+
+    def used(self, connection: Connection) -> None:
+        """A message came on it: it is the last to give way."""
+        if connection in self.open:
+            del self.open[connection]
+            self.open[connection] = None
+
+    def _make_room(self) -> bool:
+        """Close an idle connection: of least credit, and of these the one idle for longest.
+
+        Guards good callers against hundreds that connect and say nothing, or ask once and stay for good: who has
+        been served gives way last.
+        """
+        idle = [one for one in self.open if not one.in_use()]
+        if not idle:
+            return False
+        one = min(idle, key=lambda one: -1 if one.ending else one.credit)  # of equals the first, so the oldest
+        del self.open[one]
+        one.close(one.ending or CloseReason.EVICTED)
+        return True
--- a/seamlb/rollout/keeper.py
+++ b/seamlb/rollout/keeper.py
@@ -23,7 +23,7 @@
 
 from seamlb import log
 from seamlb.fronts.management import Calls, text
-from seamlb.net.connection import family, split_address
+from seamlb.net.address import family, split_address
 from seamlb.protocol.http import Request
 from seamlb.rollout.fence import Fence
 from seamlb.rollout.keeping import DRAIN_MOST, Action, Keeping, Start, Terminate
--- a/seamlb/rollout/plan.py
+++ b/seamlb/rollout/plan.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from seamlb.net.connection import split_address
+from seamlb.net.address import split_address
 
 MOST_CONFIG = 48 * 1024  # bytes; an order carries it, and may have 64 KiB
 
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -10,8 +10,10 @@
 from typing import Any
 
 from seamlb import log
-from seamlb.net.connection import ConnectFailed, Connection, Listener, connect, split_address
+from seamlb.net.address import split_address
+from seamlb.net.connection import ConnectFailed, Connection, connect
 from seamlb.net.datagram import Endpoint as Datagrams
+from seamlb.net.listener import Listener
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.sip import Framer, Message, SipError, digits, parameter, parse_datagram, response
 from seamlb.protocol.transaction import (
--- a/seamlb/subsystems/peers.py
+++ b/seamlb/subsystems/peers.py
@@ -7,7 +7,7 @@
 
 from seamlb import log
 from seamlb.config import Config
-from seamlb.net.connection import split_address
+from seamlb.net.address import split_address
 from seamlb.net.datagram import Endpoint
 from seamlb.routing.agent import Agent
 from seamlb.subsystems import Subsystem
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -324,8 +324,8 @@
         self.paths: list[str] = []
         self.writers: list[asyncio.StreamWriter] = []
 
-    async def start(self) -> str:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> str:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         return "{}:{}".format(*self.server.sockets[0].getsockname())
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,45 @@
+"""The program as a process of its own, for stories that need one."""
+
+import asyncio
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+from tests.loopback import PATIENCE, Story
+
+ROOT = Path(__file__).resolve().parent.parent
+EXAMPLE = str(ROOT / "examples" / "config.json")
+
+
+class ProcessStory(Story):
+    """Starts processes, reads their lines, and ends those that are left."""
+
+    python = sys.executable
+
+    async def process(
+        self, *arguments: str, program: str = sys.executable, fds: tuple[int, ...] = (), **environment: str
+    ) -> asyncio.subprocess.Process:
+        process = await asyncio.create_subprocess_exec(
+            program, *arguments, cwd=ROOT, env=os.environ | environment, pass_fds=fds,
+            stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+
+        async def stop() -> None:
+            if process.returncode is None:
+                process.kill()
+            await process.communicate()
+
+        self.addAsyncCleanup(stop)
+        return process
+
+    async def line(self, process: asyncio.subprocess.Process, holds: str) -> str:
+        async with asyncio.timeout(PATIENCE):
+            while holds not in (line := (await process.stdout.readline()).decode()):
+                self.assertTrue(line, f"ended before {holds!r}")
+            return line
+
+    async def free_address(self) -> str:
+        free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        address = "{}:{}".format(*free.sockets[0].getsockname())
+        free.close()
+        return address
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,76 @@
+"""Descriptors: idle callers can't take those of discovery, servers and operators."""
+
+import asyncio
+import json
+import signal
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from seamlb.net.descriptors import CLIENT_LEAST, OWN, for_clients, for_operators
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, Stand, http, invite, notices
+from tests.processes import ProcessStory
+from tests.support import RAW
+
+SOCKETS = 64  # that the process may have
+IDLE = 150  # callers that connect and say nothing
+
+
+@pytest.mark.parametrize("total", [64, 96, 256, 512, 640, 4096])
+@pytest.mark.parametrize("servers", [1, 8, 24, 64])
+def test_what_is_kept_back_is_never_the_callers(total: int, servers: int) -> None:
+    operators = for_operators(total, 32)
+    clients = for_clients(total, servers, operators)
+    assert clients >= int(total * CLIENT_LEAST), "the platform's callers hold as many"
+    assert clients + operators + OWN + 2 * servers <= total or clients == int(total * CLIENT_LEAST)
+
+
+class Crowded(ProcessStory):
+    async def test_a_crowd_while_discovery_is_down_keeps_neither_it_nor_servers_nor_operators_out(self) -> None:
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
+        listen, operators, board = [await self.free_address() for _ in range(3)]
+        path.write_text(json.dumps({
+            "settings": RAW, "listen": listen, "management": operators, "board": board,
+            "limits": {"sockets": SOCKETS}}))
+        limited = f"ulimit -n {SOCKETS}; exec {self.python} -m seamlb serve --config {path}"
+        agent = await self.process("-c", limited, program="sh")
+        await self.line(agent, '"serving"')
+        agent.send_signal(signal.SIGSTOP)  # so that all of them wait to be accepted in one turn of its loop
+        crowd = [await Peer.dial(listen) for _ in range(IDLE)]
+        agent.send_signal(signal.SIGCONT)
+        self.assertEqual(await self.health(operators), 200)
+        desk = ScriptedDesk()
+        address = await desk.start()
+
+        async def handler(stand: Stand, asked: str) -> bytes | None:
+            if len(stand.paths) > 1:
+                await asyncio.Event().wait()
+            listed: dict[str, Any] = notices(1, ("d", "Ready"), complete=True)
+            listed["notices"][0]["pool"]["members"][0] |= {"host_port": address, "cell": 0}
+            return http(listed)
+
+        discovery = Stand(handler)
+        await discovery.start(int(board.rpartition(":")[2]))
+        await self.eventually(lambda: desk.peers)
+        caller = await Peer.dial(listen)  # an idle one gives way
+        caller.send(invite())
+        await caller.until(200)
+        self.assertLessEqual(len(list(Path(f"/proc/{agent.pid}/fd").iterdir())), SOCKETS)
+        for one in (*crowd, caller):
+            one.close()
+        agent.send_signal(signal.SIGTERM)
+        lines, _ = await asyncio.wait_for(agent.communicate(), PATIENCE)
+        self.assertNotIn(b"Too many open files", lines)
+        discovery.server.close()
+        await desk.stop()
+
+    async def health(self, operators: str) -> int:
+        """The status that operators are answered with."""
+        host, _, port = operators.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /admin/health HTTP/1.1\r\nHost: a\r\n\r\n")
+        head = await reader.readuntil(b"\r\n")
+        writer.close()
+        return int(head.split(b" ")[1])
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -44,9 +44,11 @@
     life = serving()
     life.terminate(10.0)
     assert life.listens(10.0 + KEEP_TAKING / 2) and not life.listens(10.0 + KEEP_TAKING)
-    assert life.spares(12.0) == math.inf and life.takes(12.0)
+    assert life.spares(10.0 + KEEP_TAKING / 2) == math.inf and life.takes(12.0)
+    assert life.spares(10.0 + KEEP_TAKING) == 0.0, "each goes at its first moment without an open set-up"
     assert not life.over(10.1, 0, 0), "callers may still come"
-    assert life.over(10.0 + KEEP_TAKING, 0, 3) and not life.over(12.0, 1, 3)
+    assert not life.over(10.0 + KEEP_TAKING, 0, 3), "a set-up may be half read on one of them"
+    assert life.over(10.0 + KEEP_TAKING, 0, 0) and not life.over(12.0, 1, 3)
     assert life.answers_by() < 10.0 + KEEP_TAKING + 3.0 and life.over(life.answers_by(), 1, 1)
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,7 +9,8 @@
 from seamlb import api
 from seamlb.daemon import Daemon
 from seamlb.net import connection
-from seamlb.net.connection import ConnectFailed, Connection, Listener, connect
+from seamlb.net.connection import ConnectFailed, Connection, connect
+from seamlb.net.listener import Listener
 from seamlb.net.reason import CloseReason
 from seamlb.routing.agent import Clock
 from seamlb.routing.model import Desk
@@ -62,7 +63,7 @@
 
     async def test_at_the_limit_idle_connections_give_way_those_first_that_never_asked(self) -> None:
         # Hundreds that said nothing, or had asked once and stayed, shut good callers out.
-        daemon = await self.start(ScriptedDesk(silent), limits={"sockets": 5})  # 3 callers
+        daemon = await self.start(ScriptedDesk(silent), limits={"sockets": 9})  # 3 callers
         busy, asked, silent_one = await self.caller(), await self.caller(), await self.caller()
         busy.send(invite())
         asked.send(plain("OPTIONS", "t"))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -213,7 +213,7 @@
     async def test_in_a_crowd_releases_and_places_are_kept_for_callers_that_were_served(self) -> None:
         # A good caller's idle connection gave way to a crowd that asked once, and the release went to one of these.
         desk = ScriptedDesk()
-        daemon = await self.start(desk, limits={"sockets": 5})  # 3 callers
+        daemon = await self.start(desk, limits={"sockets": 9})  # 3 callers
         first, second = await self.caller(), await self.caller()
         for caller, ident in ((first, ID), (second, "00000000000000a2")):
             caller.send(invite(ident))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,8 +5,6 @@
 import os
 import signal
 import socket
-import subprocess
-import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -16,11 +14,9 @@
 
 from seamlb.cli import main
 from tests.loopback import PATIENCE, SDP, Peer, ScriptedDesk, Stand, Story, http, invite, notices, silent
+from tests.processes import EXAMPLE, ROOT, ProcessStory
 from tests.support import RAW
 
-ROOT = Path(__file__).resolve().parent.parent
-EXAMPLE = str(ROOT / "examples" / "config.json")
-
 
 class Configurations(unittest.TestCase):
     def refuses(self, says: str, config: str | dict[str, Any], plugins: str = "") -> None:
@@ -102,34 +98,7 @@
     return {row[6] for row in table(Path("/proc/net/unix")) if len(row) > 6 and int(row[3], 16) & 0x10000}
 
 
-class Processes(Story):
-    async def process(
-        self, *arguments: str, fds: tuple[int, ...] = (), **environment: str
-    ) -> asyncio.subprocess.Process:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, *arguments, cwd=ROOT, env=os.environ | environment, pass_fds=fds,
-            stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
-
-        async def stop() -> None:
-            if process.returncode is None:
-                process.kill()
-            await process.communicate()
-
-        self.addAsyncCleanup(stop)
-        return process
-
-    async def line(self, process: asyncio.subprocess.Process, holds: str) -> str:
-        async with asyncio.timeout(PATIENCE):
-            while holds not in (line := (await process.stdout.readline()).decode()):
-                self.assertTrue(line, f"ended before {holds!r}")
-            return line
-
-    async def free_address(self) -> str:
-        free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        address = "{}:{}".format(*free.sockets[0].getsockname())
-        free.close()
-        return address
-
+class Processes(ProcessStory):
     async def test_sigterm_answers_what_was_taken_then_exits(self) -> None:
         desk = ScriptedDesk(silent)
         member = {"id": "d", "host_port": await desk.start(), "cell": 0, "phase": "Ready"}
--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,96 @@
+"""Signals that come at the wrong moment: before the handlers are there, with set-ups half read, at the exit."""
+
+import asyncio
+import json
+import os
+import signal
+import stat
+import subprocess
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, invite, silent
+from tests.processes import ROOT, ProcessStory
+from tests.support import RAW
+
+
+class Deployed(unittest.TestCase):
+    def test_a_sighup_before_the_program_runs_does_not_end_it(self) -> None:
+        deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+        with tempfile.TemporaryDirectory() as folder:
+            python = Path(folder) / ".venv" / "bin" / "python"
+            python.parent.mkdir(parents=True)
+            python.write_text("#!/bin/sh\nkill -HUP $$\necho alive\n")
+            python.chmod(python.stat().st_mode | stat.S_IXUSR)
+            told = subprocess.run(
+                ["sh", "-c", deploy["run"]], cwd=folder, capture_output=True, text=True, check=False)
+        self.assertEqual((told.returncode, told.stdout), (0, "alive\n"))
+
+
+class Starts(ProcessStory):
+    async def pipe_read(self, path: Path) -> int:
+        """The writing end of a pipe, once the process has it open and waits for what it holds."""
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                try:
+                    return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+                except OSError:
+                    await asyncio.sleep(0.005)
+
+    async def test_a_sighup_while_the_configuration_is_first_read_is_heard_after_the_start(self) -> None:
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
+        os.mkfifo(path)
+        told = json.dumps({"settings": RAW, "listen": await self.free_address()})
+        agent = await self.process("-m", "seamlb", "serve", "--config", str(path))
+        pipe = await self.pipe_read(path)
+        agent.send_signal(signal.SIGHUP)  # there is no handler for it yet
+        path.unlink()
+        path.write_text(told)  # what it reads for the signal
+        os.write(pipe, told.encode())
+        os.close(pipe)
+        await self.line(agent, '"reloaded"')
+        agent.send_signal(signal.SIGTERM)
+        await self.line(agent, '"ended"')
+        self.assertEqual(await asyncio.wait_for(agent.wait(), PATIENCE), 0)
+
+
+class Drains(ProcessStory):
+    async def test_a_set_up_that_is_half_read_when_the_listener_closes_is_answered(self) -> None:
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
+        listen = await self.free_address()
+        path.write_text(json.dumps({"settings": RAW, "listen": listen}))
+        agent = await self.process("-m", "seamlb", "serve", "--config", str(path))
+        await self.line(agent, '"serving"')
+        caller, idle = await Peer.dial(listen), await Peer.dial(listen)
+        whole = invite().encode()
+        agent.send_signal(signal.SIGTERM)
+        await self.line(agent, '"draining"')
+        caller.send(whole[:40])
+        with self.assertRaises(EOFError):
+            await idle.next()  # idle ones go when the listener has closed; the process ended then
+        caller.send(whole[40:])
+        self.assertEqual((await caller.next()).status, 503)  # there is no server
+        await self.line(agent, '"ended"')
+        self.assertEqual(await asyncio.wait_for(agent.wait(), PATIENCE), 0)
+        caller.close()
+        idle.close()
+
+
+class Crossings(Story):
+    async def test_a_set_up_that_is_not_yet_read_keeps_its_connection_and_the_process(self) -> None:
+        daemon = await self.start(ScriptedDesk(silent))
+        caller = await self.caller()
+        await self.eventually(lambda: daemon.front.clients)
+        now = asyncio.get_running_loop().time()
+        daemon.lifecycle.terminate(now - 1.0)  # the listener closes now
+        caller.send(invite(timer=100))  # it is in the socket, and the loop has not come to it
+        daemon.tend()
+        self.assertFalse(daemon.lifecycle.over(now, daemon.agent.unanswered, len(daemon.front.clients)))
+        self.assertEqual((await caller.next()).status, 503)
+        daemon.tend()
+        with self.assertRaises(EOFError):
+            await caller.next()
+        await self.eventually(lambda: not daemon.front.clients)
+        self.assertTrue(daemon.lifecycle.over(now, daemon.agent.unanswered, len(daemon.front.clients)))
