Check again what crossed: callers that go, servers that drain, releases, and a board that begins anew

Each found by reading for what comes at an await or a callback, and seen to fail on by the test that is named: - CANCEL or a close behind the decision to send in a call's queue: a set-up was sent and called off; behind an answer: the caller that had given up was told 200 (`Agent._attempt`, `_answer`). `Life.left` is known at once. test_crossings.CallersThatGo. - A set-up that waits for a server's connection was sent when it came up, up to 1 s later, though the server had been told to drain meanwhile (`PlatformDesks.listed`, `_opened`); the rule allows 500 ms. It ends as never run. - A new server at the address of one whose end the list has not told yet: its release on the old one's connection was passed to any caller as a stranger's, and the call stayed (`_message`). The call is found by the address. - A fault in the task that keeps a server's connection left it without one for good (`_keep`). test_crossings.Servers. - A release was written to a connection that its caller had closed, unseen as yet, or was closing just then, and was lost; it is not written to what has ended, and told on another one if the connection ends within 1 s and no 200 to it came. test_crossings.Releases. Releases have a file of their own (fronts/releases.py). - A board that begins to count anew was polled for a number that never came, and told nothing any more (`Board.known`). It is asked for everything; an older list brings nothing back while the board may only be late (7 s). test_board_restarts.

--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -94,6 +94,8 @@
         elif desk.since_ms != link.desk.since_ms:
             self._cut_standing(link)  # its process is a new one: what stood at the old one is cut
         link.desk = desk
+        if desk.availability != Availability.READY:
+            self._fail_waiting(link)  # a connection that comes up late must not carry them to a desk that drains
 
     def set_up(self, attempt: Attempt, heard: Heard) -> None:
         leg = Leg(attempt, heard, sent=asyncio.get_running_loop().time())
@@ -156,6 +158,15 @@
         return task
 
     async def _keep(self, link: Link) -> None:
+        """Hold a connection to the desk until it is gone; a fault is logged and must not leave it without one."""
+        while not link.gone:
+            try:
+                await self._hold(link)
+            except Exception as error:
+                log.event("fault", where="desk", error=repr(error), trace=log.trace(error))
+                await asyncio.sleep(RETRY_MOST)
+
+    async def _hold(self, link: Link) -> None:
         """Hold a connection to the desk, and test with another one when it falls silent."""
         loop = asyncio.get_running_loop()
         pause, broke = RETRY_FIRST, False
@@ -275,10 +286,7 @@
             # Silent too: the machine is gone or cut off, or hangs, or its set-ups would wait for their time-outs.
             if now - connection.last_read > SUSPECT and (not quiet or self._legs_on(connection)):
                 connection.close(CloseReason.SILENT)
-        waiting, link.waiting = link.waiting, []
-        for leg in waiting:
-            self._over(self._key(leg.attempt))
-            leg.heard(leg.attempt.leg, Outcome(Status.CONNECT_FAILED))
+        self._fail_waiting(link)
         if (refused and not link.open) or (link.lost_at is not None and now - link.lost_at > UNREACHABLE):
             self._cut_standing(link)
 
@@ -344,9 +352,7 @@
         link.gone = True
         del self.links[link.desk.ident]
         link.wanted.set()
-        for leg in link.waiting:
-            self._over(self._key(leg.attempt))
-            leg.heard(leg.attempt.leg, Outcome(Status.CONNECT_FAILED))
+        self._fail_waiting(link)
         for key, leg in list(self.legs.items()):
             if key[0] == link.desk.ident:
                 if leg.stands:
@@ -356,6 +362,13 @@
         for connection in link.open[:]:
             connection.finish(CloseReason.REPLACED)
 
+    def _fail_waiting(self, link: Link) -> None:
+        """Set-ups that wait for a connection end as never run."""
+        waiting, link.waiting = link.waiting, []
+        for leg in waiting:
+            self._over(self._key(leg.attempt))
+            leg.heard(leg.attempt.leg, Outcome(Status.CONNECT_FAILED))
+
     def _cut_standing(self, link: Link) -> None:
         for key, leg in self._standing(link):
             self._over(key)
@@ -375,6 +388,18 @@
     def _key(self, attempt: Attempt) -> tuple[str, str]:
         return attempt.desk, attempt.request.ident
 
+    def _key_at(self, link: Link, ident: str) -> tuple[str, str]:
+        """The leg of this call that what came on a link's connection is about.
+
+        Where a new desk has the address of one whose end we have not been told of, the old one's link has come up to
+        the new process, which may send there what concerns its calls.
+        """
+        key = (link.desk.ident, ident)
+        if key in self.legs or key in self.over:
+            return key
+        names = (other.desk.ident for other in self.links.values() if other.desk.address == link.desk.address)
+        return next(((name, ident) for name in names if (name, ident) in self.legs), key)
+
     def _over(self, key: tuple[str, str]) -> Leg | None:
         """Take a leg off; it is remembered for a while, so that late word of it is known as such."""
         now = asyncio.get_running_loop().time()
@@ -420,7 +445,7 @@
 
     def _message(self, link: Link, connection: Connection, message: Message) -> None:
         ident = message.get("call-id")
-        key = (link.desk.ident, ident)
+        key = self._key_at(link, ident)
         leg = self.legs.get(key)
         if message.method == "NOTIFY":
             link.tells = True
--- a/seamlb/discovery/board.py
+++ b/seamlb/discovery/board.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -17,6 +18,7 @@
 LINGER = 2.0  # seconds that the board may wait for news
 SILENCE = 1.5  # seconds beyond that before a poll counts as silent; a drain must be known within 7 s
 RETRY_FIRST, RETRY_MOST = 0.1, 0.5  # with the time to connect, under 2 s: what a break hides counts as told then
+LATE = 7.0  # seconds by which a board may be late: what it has to tell counts as told then
 PHASES = {"Ready": Availability.READY, "Terminating": Availability.DRAINING, "Gone": Availability.GONE}
 
 
@@ -30,18 +32,42 @@
         self.zones = {name: place for place, name in enumerate(zones)}
         self.changed = changed
         self.rev = 0
+        self.revision = 0  # the newest of the list itself that was told
+        self.behind_until = math.inf  # after its numbers went back: when it is believed though its list seems older
+        self.skipped = False  # has it told an older list since then?
         self.told = False
         self.moved = asyncio.Event()
 
     def known(self, raw: Mapping[str, Any]) -> None:
-        """Take a list of notices, the configuration's or the board's; those known already are skipped."""
+        """Take a list of notices, the configuration's or the board's; those known already are skipped.
+
+        A board whose numbers went back has begun anew, and would never tell what we wait for: it is asked for
+        everything. For as long as it may only be late, a list older than the one that we have brings no server back.
+        """
         last, notices = parse_notices(raw)
+        if last < self.rev:
+            log.event("board_restarted", rev=self.rev, told=last)
+            self.rev, self.behind_until = 0, asyncio.get_running_loop().time() + LATE
+            return
         for notice in notices:
             if notice.rev > self.rev:
                 self.rev = notice.rev
+                if self.behind_until < math.inf and notice.revision < self.revision:
+                    self.skipped = True
+                    continue
+                self.revision = max(self.revision, notice.revision)
                 self._tell(notice)
         self.rev = max(self.rev, last)
 
+    def _believe(self) -> None:
+        """What still tells older lists after that long has begun to count anew: it is asked for everything again."""
+        if asyncio.get_running_loop().time() < self.behind_until:
+            return
+        self.behind_until = math.inf
+        if self.skipped:
+            self.rev = self.revision = 0
+            self.skipped = False
+
     def _tell(self, notice: Notice) -> None:
         desks = []
         for member in notice.members:
@@ -84,6 +110,7 @@
             while True:
                 await asyncio.sleep(pause)
                 pause = min(max(2 * pause, RETRY_FIRST), RETRY_MOST)
+                self._believe()
                 linger = 0 if self.at_once and not self.caught_up.is_set() else int(LINGER * 1000)
                 path = f"/board/poll?watch={self.rev}&linger={linger}"
                 try:
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -5,11 +5,11 @@
 import asyncio
 import math
 import re
-from collections import deque
 from dataclasses import dataclass, field
 
 from seamlb import log
 from seamlb.fronts.figures import BadCall, figures, patience
+from seamlb.fronts.releases import SERVED, UNTOLD, Receiver, Release, ReleaseQueue
 from seamlb.lifecycle import Lifecycle
 from seamlb.net.connection import MAX_UNSENT_CLIENT, Connection
 from seamlb.net.lag import Lag
@@ -21,8 +21,6 @@
 
 ALLOW = ("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
 NORMAL = 16
-PENDING_RELEASES = 4096
-UNTOLD = 0.5  # seconds that a release waits for a caller known to be one; it must be told within 1 s
 IDENT = re.compile(r"[0-9A-Fa-f]{16}")  # PROTOCOL: a message names its call by 16 hex digits
 NUMBER = re.compile(r"[0-9A-Za-z+*#._-]{1,64}")  # what goes on to desks as it is
 MOST_BODY = MAX_MESSAGE - 1024  # the rest is for the headers that we write
@@ -34,6 +32,7 @@
     """A connection from callers."""
 
     connection: Connection
+    receiver: Receiver
     framer: Framer = field(default_factory=Framer)
     open: dict[str, Call] = field(default_factory=dict)  # set-ups not answered yet
 
@@ -55,7 +54,7 @@
     def stands(self, description: bytes) -> bool:
         told = self._final(response(self.invite, 200, body=description))
         if told:
-            self.client.connection.credit = 2  # a desk took its call: this is a caller
+            self.client.connection.credit = SERVED
             self.front.flush()
         return told
 
@@ -81,7 +80,8 @@
         self.clients: set[Client] = set()
         self.calls: dict[str, Call] = {}
         self.spoilt: dict[str, None] = {}
-        self.releases: deque[tuple[float, bytes]] = deque(maxlen=PENDING_RELEASES)  # when, for the next connection
+        self.releases = ReleaseQueue()
+        self.receivers: dict[Connection, Receiver] = {}
         self.lag: Lag | None = None
 
     def start(self, descriptor: int | None = None) -> None:
@@ -114,34 +114,26 @@
 
     def release(self, ident: str, cause: int, first: Client | None = None) -> None:
         """Tell callers that a call is over: on its connection, another one, or the next that asks."""
-        message = Message("BYE", f"sip:{ident}@net", headers=[
-            ("Via", f"SIP/2.0/TCP seamlb;branch=z9hG4bK{ident}-b"), ("Call-ID", ident), ("CSeq", "1 BYE"),
-            ("Reason", f"Q.850;cause={cause}"),
-        ])
-        data = message.encode()
-        if first and first.connection.send(data):
-            return
-        # On any connection of callers; but a bad one's, or one of a crowd that only asks, would lose it.
-        now = asyncio.get_running_loop().time()
-        self.releases.append((now, data))
+        release = Release.of(ident, cause)
+        if first is None or not first.receiver.tell(release):
+            self._queue(release)
+
+    def _queue(self, release: Release) -> None:
+        """Tell it on another connection of callers, now or when there is one."""
+        self.releases.pending.append(release)
         self.flush()
-        if self.releases:
+        if self.releases.pending:
             asyncio.get_running_loop().call_later(UNTOLD, self.flush)
 
     def flush(self) -> None:
-        """Tell the releases that wait: to whoever had a call stand, in need to whoever asked for something."""
-        now = asyncio.get_running_loop().time()
-        while self.releases:
-            at, data = self.releases[0]
-            least = 2 if now - at < UNTOLD - 0.01 else 1
-            able = [one for one in reversed(self.listener.open) if one.credit >= least]
-            if not any(one.send(data) for one in sorted(able, key=lambda one: -one.credit)):
-                return
-            self.releases.popleft()
+        """Tell the releases that wait on the connections there are, the latest used first among equals."""
+        receivers = (self.receivers.get(one) for one in reversed(self.listener.open))
+        self.releases.flush(one for one in receivers if one is not None)
 
     async def _serve(self, connection: Connection) -> None:
-        client = Client(connection)
+        client = Client(connection, Receiver(connection))
         self.clients.add(client)
+        self.receivers[connection] = client.receiver
         connection.in_use = lambda: bool(client.open)
 
         def received(data: bytes) -> None:
@@ -164,6 +156,9 @@
         for call in list(client.open.values()):
             self._left(call, NORMAL)
         client.open.clear()
+        self.receivers.pop(client.connection, None)
+        for release in client.receiver.crossed():
+            self._queue(release)
 
     def _malformed(self, client: Client, error: SipError) -> None:
         log.event("malformed", kind="client", peer=client.connection.peer, error=str(error))
@@ -184,8 +179,10 @@
         match message.method:
             case "INVITE":
                 self._invite(client, message, ident, call)
-            case "ACK" | "":
-                pass  # nor are responses (the 200 to a release) of any use
+            case "ACK":
+                pass
+            case "":
+                client.receiver.heard(ident)
             case "CANCEL":
                 if theirs and client.open.pop(ident, None):  # no answer is owed to a caller that gave up
                     self._left(theirs, NORMAL)
--- a/seamlb/protocol/notices.py
+++ b/seamlb/protocol/notices.py
@@ -28,6 +28,7 @@
     """One event: the whole list, or what has changed."""
 
     rev: int
+    revision: int  # of the list itself, whoever tells it; 0: not told
     complete: bool
     members: tuple[Member, ...]
 
@@ -36,10 +37,11 @@
     """The last number and the events, in order."""
     try:
         return int(raw["rev"]), [
-            Notice(int(one["rev"]), bool(one["pool"]["complete"]), tuple(map(_member, one["pool"]["members"])))
+            Notice(int(one["rev"]), int(one["pool"].get("revision") or 0), bool(one["pool"]["complete"]),
+                   tuple(map(_member, one["pool"]["members"])))
             for one in raw["notices"]
         ]
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise NoticeError(f"not a list of notices: {type(error).__name__} {error}") from None
 
 
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -65,6 +65,7 @@
 
     def caller_left(self, life: Life, cause: int = 16) -> None:
         """A front tells that the caller gave the request up, or released the call."""
+        life.left = True
         life.news.put_nowait(CallerLeft(cause))
 
     async def _live(self, life: Life) -> None:
@@ -125,7 +126,8 @@
         timer = asyncio.get_running_loop().call_later(
             max(0.0, within) / 1000.0, life.news.put_nowait, TimedOut(attempt.leg)
         )
-        self.desks.set_up(attempt, lambda leg, what: life.news.put_nowait(Heard(leg, what)))
+        if not life.left:  # its news is in the queue, behind the decision
+            self.desks.set_up(attempt, lambda leg, what: life.news.put_nowait(Heard(leg, what)))
         try:
             while True:
                 match await life.news.get():
@@ -187,6 +189,8 @@
                 return "left"  # it is owed none
             case Answer(description):
                 life.stood = True
+                if life.left:  # its news is in the queue, behind the answer
+                    return "left"
                 if not life.caller.stands(description):
                     return "untold"
                 self.counters.fulfilled[life.kind] += 1
--- a/seamlb/routing/life.py
+++ b/seamlb/routing/life.py
@@ -56,6 +56,7 @@
     sent: float = 0.0  # clock time of the attempt
     answered: bool = False
     stood: bool = False
+    left: bool = False  # the caller has gone: known at once, while its news may wait behind others in the queue
     since: float = 0.0  # clock time of its taking; kept only where somebody asks how long answers take
     kind: str = ""  # the class that the caller named; local rules may give the request another one
     closed: Callable[[], object] = lambda: None  # tells the front that the life is over
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,182 @@
+"""What crosses in one turn of the loop: a caller that goes, a server that drains, the end of a connection."""
+
+import asyncio
+import socket
+from typing import Any
+from unittest import mock
+
+from seamlb import api
+from seamlb.desks import platform
+from seamlb.net.connection import Connection, connect
+from seamlb.protocol.sip import Message
+from seamlb.routing.life import Heard, Life
+from seamlb.routing.model import Answer, Outcome
+from tests.loopback import PATIENCE, SDP, Peer, ScriptedDesk, Story, bye, invite, plain, reply, silent
+
+ID = "00000000000000a1"
+
+
+class CallersThatGo(Story):
+    async def open_call(self) -> tuple[Any, ScriptedDesk, Peer, Any]:
+        """A daemon, a server that says nothing, a caller, and its call with an attempt out."""
+        desk = ScriptedDesk(silent)
+        daemon = await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        await desk.until("INVITE")
+        (life,) = daemon.agent.lives.values()
+        return daemon, desk, caller, life
+
+    async def test_no_attempt_begins_for_a_caller_whose_cancel_is_behind_the_decision(self) -> None:
+        daemon, desk, _, life = await self.open_call()
+        life.news.put_nowait(ended(life, api.Status.RESET))  # barred for 300 ms
+        await self.eventually(lambda: life.attempt is None)
+        life.news.put_nowait(api.CallOut(life.number, 0, 1000.0))  # the bar is over, and in the same turn of the loop
+        daemon.agent.caller_left(life)  # the caller goes
+        await self.eventually(lambda: not daemon.agent.lives)
+        await self.until_quiet(daemon, desk)
+        self.assertEqual(self.events("call_end")[-1]["result"], "left")
+
+    async def test_a_caller_that_cancels_as_the_answer_comes_is_told_nothing_and_the_call_is_released(self) -> None:
+        daemon, desk, caller, life = await self.open_call()
+        life.news.put_nowait(answered(life))
+        daemon.agent.caller_left(life)
+        await desk.until("BYE")
+        caller.send(plain("OPTIONS", "t"))
+        self.assertEqual((await caller.next()).get("call-id"), "t")  # and no answer before it
+
+    async def test_a_caller_that_cancels_in_the_bar_is_not_sent_on(self) -> None:
+        daemon, desk, caller, life = await self.open_call()
+        life.news.put_nowait(ended(life, api.Status.RESET))  # barred for 300 ms
+        await self.eventually(lambda: life.attempt is None)
+        caller.send(plain("CANCEL", ID))
+        await self.eventually(lambda: not daemon.agent.lives)
+        daemon.agent.tell(api.Alarm(life.number))  # the bar is over
+        await self.until_quiet(daemon, desk)
+
+    async def until_quiet(self, daemon: Any, desk: ScriptedDesk) -> None:
+        """The server reads what was written to it so far, and no set-up is in it."""
+        (link,) = daemon.desks.links.values()
+        link.open[-1].send(plain("OPTIONS", "end").encode())
+        while (message := await asyncio.wait_for(desk.seen.get(), PATIENCE)).method != "OPTIONS":
+            self.assertNotEqual(message.method, "INVITE")
+
+
+def ended(life: Life, status: api.Status) -> Heard:
+    """The server's word that the attempt that is out has ended."""
+    assert life.attempt
+    return Heard(life.attempt.leg, Outcome(status))
+
+
+def answered(life: Life) -> Heard:
+    """The server's answer to the attempt that is out."""
+    assert life.attempt
+    return Heard(life.attempt.leg, Answer(SDP))
+
+
+class Servers(Story):
+    async def test_a_set_up_that_waits_for_a_connection_does_not_reach_a_server_that_drains_meanwhile(self) -> None:
+        desk, up = ScriptedDesk(), asyncio.Event()
+
+        async def late(*told: Any) -> Connection:
+            await up.wait()
+            return await connect(*told)
+
+        with mock.patch.object(platform, "connect", late):
+            daemon = await self.start()
+            daemon.agent.list_changed(api.Scope.CACHED, [self.desk(0, await desk.start())])
+            self.addAsyncCleanup(desk.stop)
+            self.warm(daemon, 0)
+            caller = await self.caller()
+            caller.send(invite())
+            await self.eventually(lambda: daemon.desks.links["d0"].waiting)
+            drains = self.desk(0, desk.address, api.Availability.DRAINING)
+            daemon.agent.list_changed(api.Scope.DELTA, [drains])
+            up.set()
+            self.assertEqual((await caller.next()).status, 503)
+            await self.eventually(lambda: desk.peers)
+        self.assertTrue(desk.seen.empty())
+
+    async def test_a_release_that_a_new_server_sends_on_its_predecessors_connection_reaches_the_caller(self) -> None:
+        # The list is late: the old server is still listed, and its link has come up to the new process.
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        daemon.agent.list_changed(api.Scope.DELTA, [self.desk(1, desk.address)])
+        await self.eventually(lambda: len(desk.peers) == 2)
+        await self.eventually(lambda: daemon.agent.module.cores[1].told > 0)
+        self.warm(daemon, 1)
+        caller = await self.caller()
+        caller.send(invite(dest=1))
+        await caller.until(200)
+        desk.peers[0].send(bye(ID, 16))
+        self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
+        await self.eventually(lambda: not daemon.agent.lives)
+
+    async def test_a_fault_in_the_task_that_keeps_a_connection_does_not_leave_the_server_without_one(self) -> None:
+        desk = ScriptedDesk()
+        real, tries = connect, 0
+
+        async def faulty(*told: Any) -> Connection:
+            nonlocal tries
+            tries += 1
+            if tries == 1:
+                raise RuntimeError("a fault")
+            return await real(*told)
+
+        with mock.patch.object(platform, "connect", faulty), mock.patch.object(platform, "RETRY_MOST", 0.01):
+            await self.start(desk)
+        self.assertEqual([one["where"] for one in self.events("fault")], ["desk"])
+
+
+class Releases(Story):
+    async def test_a_release_that_crossed_the_end_of_its_connection_is_told_on_another(self) -> None:
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        first, second = await self.caller(), await self.caller()
+        second.send(plain("OPTIONS", "t"))
+        await second.until(200)
+        first.send(invite())
+        await first.until(200)
+        desk.peers[0].send(bye(ID, 16))
+        await self.eventually(lambda: not daemon.agent.lives)
+        first.close()  # it has read nothing of the release
+        self.assertEqual((await second.until("BYE")).get("call-id"), ID)
+
+    async def test_a_release_that_was_heard_is_told_once(self) -> None:
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        first, second = await self.caller(), await self.caller()
+        second.send(plain("OPTIONS", "t"))
+        await second.until(200)
+        first.send(invite())
+        await first.until(200)
+        desk.peers[0].send(bye(ID, 16))
+        first.send(reply_to_bye(await first.until("BYE")))
+        first.send(plain("OPTIONS", "t"))
+        await first.until(200)
+        first.close()
+        await self.eventually(lambda: len(daemon.front.clients) == 1)
+        second.send(plain("OPTIONS", "t"))
+        self.assertEqual((await second.next()).status, 200)
+
+    async def test_a_release_is_not_written_to_a_connection_that_has_ended_unseen(self) -> None:
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        first, second = await self.caller(), await self.caller()
+        second.send(plain("OPTIONS", "t"))
+        await second.until(200)
+        first.send(invite())
+        await first.until(200)
+        (call,) = daemon.front.calls.values()
+        first.writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
+        with mock.patch.object(call.client.connection, "send") as sent:  # the loop has not come to its end yet
+            call.released(16)
+        self.assertFalse(sent.called)
+        self.assertEqual((await second.until("BYE")).get("call-id"), ID)
+
+
+def reply_to_bye(message: Message) -> Message:
+    """The 200 to a release."""
+    answer = reply(message, 200)
+    answer.headers = [(name, "1 BYE" if name == "CSeq" else value) for name, value in answer.headers]
+    return answer
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -211,7 +211,7 @@
         self.assertEqual(agent.next_number, 2021)  # 2,000 desks, and d0 anew each time: no number was given twice
         self.assertEqual((len(agent.listed), len(agent.module.cores), len(desks.links)), (1, 1, 1))
         for left in (agent.lives, agent.module.calls, agent.module.turned, +agent.held, desks.legs,
-                     daemon.front.calls, daemon.front.releases):
+                     daemon.front.calls, daemon.front.releases.pending):
             self.assertFalse(left)
         await self.eventually(lambda: len(desks.tasks) <= 2 and len(agent.tasks) == 0)  # one keeper, one reader
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -202,7 +202,7 @@
         first.close()
         await self.eventually(lambda: not daemon.front.clients)
         desk.peers[0].send(bye(ID, 41))
-        await self.eventually(lambda: daemon.front.releases)
+        await self.eventually(lambda: daemon.front.releases.pending)
         mute, caller = await self.caller(), await self.caller()  # told to one that never asked it would be lost
         await self.eventually(lambda: len(daemon.front.clients) == 2)
         caller.send(plain("OPTIONS", "t"))
