Give dropped class and tenant numbers again, and spread the floors over any number of classes

A number is given again once no open call has it (`Core.numbers_in_use`) and a version has passed without it. - FLOORS has the paper's three figures, and all ranks from the third on shared the lowest: of five classes three. The figures are now drawn between the highest and the lowest over the classes; calls over a share and late redials keep the lowest. For one to three classes nothing changes. test_gate, 1 to 12 classes.

--- a/seamlb/api.py
+++ b/seamlb/api.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import itertools
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
 from typing import Any, TypeVar
@@ -115,21 +116,35 @@
     # Numbers of the classes and tenants that requests may name. Others were dropped; what is open keeps them.
     kinds: Mapping[str, int] = field(default_factory=dict)
     tenants: Mapping[str, int] = field(default_factory=dict)
+    tenant_names: tuple[str, ...] = ()  # by number, also of those that were dropped
 
     @property
     def patience(self) -> float:
         """The longest that a caller waits."""
         return max(kind.deadline for kind in self.classes)
 
-    def after(self, old: Settings) -> Settings:
-        """This version as the one that follows `old`: who has a number there keeps it, and none comes back.
+    def after(
+        self, old: Settings, open_classes: Collection[int] = (), open_tenants: Collection[int] = ()
+    ) -> Settings:
+        """This version as the one that follows `old`: who has a number there keeps it.
 
-        What is `FIXED` stays as it was at the start.
+        A number that was dropped is given again once no open call has it and a version has passed without it, so that
+        the tables don't grow with each reload. What is `FIXED` stays as it was at the start.
         """
-        classes, kinds = _numbered(old.classes, old.kinds, self.classes, self.kinds)
-        allowances, tenants = _numbered(old.allowances, old.tenants, self.allowances, self.tenants)
-        return replace(self, classes=classes, kinds=kinds, allowances=allowances, tenants=tenants,
-                       **{name: getattr(old, name) for name in FIXED})
+        kinds = _numbered(len(old.classes), old.kinds, self.kinds, open_classes)
+        tenants = _numbered(len(old.allowances), old.tenants, self.tenants, open_tenants)
+        return replace(
+            self, kinds=kinds, tenants=tenants,
+            classes=_placed(old.classes, self.classes, self.kinds, kinds),
+            allowances=_placed(old.allowances, self.allowances, self.tenants, tenants),
+            tenant_names=_placed(old.tenant_names, self.tenant_names, self.tenants, tenants),
+            **{name: getattr(old, name) for name in FIXED})
+
+    def renamed(self, old: Settings) -> tuple[set[int], set[int]]:
+        """Numbers of classes and of tenants that stand for another name here than in `old`."""
+        classes = zip((one.name for one in old.classes), (one.name for one in self.classes), strict=False)
+        tenants = zip(old.tenant_names, self.tenant_names, strict=False)
+        return _changed(classes), _changed(tenants)
 
     def waits(self, old: Settings) -> list[str]:
         """What differs and is for a start only."""
@@ -201,18 +216,30 @@
             report_source=str(report.get("Source", "none")),
             kinds={kind.name: place for place, kind in enumerate(classes)},
             tenants={str(one.get("Name", "")): place for place, one in enumerate(tenants)},
+            tenant_names=tuple(str(one.get("Name", "")) for one in tenants),
         )
 
 
 def _numbered(
-    old: tuple[T, ...], had: Mapping[str, int], new: tuple[T, ...], named: Mapping[str, int]
-) -> tuple[tuple[T, ...], dict[str, int]]:
-    """New entries at the numbers that their names had, or at numbers never given before."""
-    entries, numbers = list(old), dict[str, int]()
-    for name, place in named.items():
-        numbers[name] = had.get(name, len(entries))
-        entries[numbers[name] :] = [new[place], *entries[numbers[name] + 1 :]]
-    return tuple(entries), numbers
+    size: int, had: Mapping[str, int], named: Iterable[str], in_use: Collection[int]
+) -> dict[str, int]:
+    """A version's numbers by name: the name's own, else one that is free among `size`, else a further one."""
+    taken = {*had.values(), *in_use}
+    free = [number for number in range(size) if number not in taken]
+    further = itertools.count(size)
+    return {name: had[name] if name in had else free.pop(0) if free else next(further) for name in named}
+
+
+def _changed(names: Iterable[tuple[str, str]]) -> set[int]:
+    return {number for number, (then, now) in enumerate(names) if then != now}
+
+
+def _placed(
+    old: tuple[T, ...], new: tuple[T, ...], places: Mapping[str, int], numbers: Mapping[str, int]
+) -> tuple[T, ...]:
+    """The old table with a version's entries at their numbers."""
+    table = dict(enumerate(old)) | {numbers[name]: new[place] for name, place in places.items()}
+    return tuple(table[number] for number in range(len(table)))
 
 
 def _part(raw: Mapping[str, Any], key: str, needed: bool = False) -> Mapping[str, Any]:
--- a/seamlb/control.py
+++ b/seamlb/control.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from seamlb import api
+from seamlb.estimators import DecayingValue, TokenBucket
 
 MARGIN = 0.9  # paper: f, the factor on the right side of (4) and (6) for level 1
 STREAK = 5  # paper: consecutive detections before a level changes, of all nodes: each sees its part
@@ -56,6 +57,17 @@
     return mean * falls / allowed, max(1.0, (1.0 - mean) * falls / nodes)
 
 
+def floor_ratios(in_full: Sequence[bool]) -> list[float]:
+    """Floors of ranks, dearest first: the paper's, drawn between; not `in_full`, the lowest."""
+    step = (len(FLOORS) - 1) / max(sum(in_full) - 1, len(FLOORS) - 1)
+    ratios: list[float] = []
+    for rank, full in enumerate(in_full):
+        place = step * sum(in_full[:rank])
+        low = min(int(place), len(FLOORS) - 2)
+        ratios.append(FLOORS[low] * (FLOORS[low + 1] / FLOORS[low]) ** (place - low) if full else FLOORS[-1])
+    return ratios
+
+
 # -- controller: N, x, conditions, levels -------------------------------------------------------
 
 
@@ -75,21 +87,6 @@
     return True
 
 
-@dataclass(slots=True)
-class Fading:
-    """A value that fades with time constant `span`."""
-
-    span: float
-    value: float = 0.0
-    at: float = 0.0
-
-    def get(self, now: float) -> float:
-        return self.value * math.exp((self.at - now) / self.span) if self.value else 0.0
-
-    def put(self, now: float, value: float) -> None:
-        self.value, self.at = value, now
-
-
 @dataclass(slots=True)
 class Call:
     """A call that still needs its final answer."""
@@ -129,7 +126,7 @@
     depth: int = 0  # how many ranks are gapped, from the lowest up
     stepped: float = -math.inf
     opens: dict[int, float] = field(default_factory=dict)  # gapped rank: when its next interval starts
-    wait: Fading = field(default_factory=lambda: Fading(RECOVER_MS))  # latest own delay or reported wait
+    wait: DecayingValue = field(default_factory=lambda: DecayingValue(RECOVER_MS))
     idle: float = math.inf
     circuits: float = math.inf
     told: float = -math.inf  # when its lines were last heard of
@@ -175,22 +172,23 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.rng = random.Random(seed)
-        self.calls: dict[int, Call] = {}
+        self.calls, self.listed = dict[int, Call](), False
         self.cores: dict[int, Core] = {}
-        self.listed = False
         self.awake, self.last, self.stalled, self.beat = 0.0, 0.0, -1.0, -math.inf
         self.out: list[api.Action] = []
         self.turned: dict[tuple[int, int, int], tuple[float, float, int]] = {}  # first try, latest, over
         self.busy: dict[int, float] = {}  # number called: until when none of its lines is worth asking for
-        self.share_room: dict[int, tuple[float, float]] = {}
-        self.taken = Fading(FADE_MS)  # answers of all servers to this node, per ms and line
+        self.share_buckets: dict[int, TokenBucket] = {}
+        self.taken = DecayingValue(FADE_MS)  # answers of all servers to this node, per ms and line
         self.streak = max(1, round(STREAK / settings.instances))
         self.began, self.lines = math.inf, 1.0  # clock time of the first event; sum of the servers' sizes
         self.ranks: dict[tuple[int, int, int], int] = {}
+        self.set = settings
         self._tune(settings)
 
     def _tune(self, settings: api.Settings) -> None:
         """Take settings, at the start or anew: what is known of calls and servers stays."""
+        self._forget_renamed(settings)
         self.set, live = settings, sorted(settings.kinds.values())
         # T_k: the class's aim, all scaled down so that the longest ends where a waiting set-up is repeated.
         self.longest = max(settings.classes[place].on_time for place in live)
@@ -205,7 +203,6 @@
             for late, part in enumerate((1.0, kind.late_worth) if kind.late_worth < 1.0 else (1.0,))
         )
         order = [one for one in known if one[3] in live]
-        # A class that was dropped has no rank of its own: its last calls go by the next one.
         had = {rank: key for key, rank in self.ranks.items()}
         self.ranks = {(one[3], one[2], one[1]): min(bisect_left(order, one), len(order) - 1) for one in known}
         for call in self.calls.values():
@@ -216,11 +213,19 @@
         plain = min(settings.classes[place].worth / settings.classes[place].width for place in live)
         self.reserve = [RESERVE * max(0.0, math.log(plain / -u)) if u and plain else 0.0 for u, *_ in order]
         self.limit_of = [self.limits.index(limit[place]) for _, _, _, place in order]
-        self.floor_ratio = [FLOORS[min(rank, len(FLOORS) - 1)] for rank in range(len(order))]
+        self.floor_ratio = floor_ratios([over + late == 0 for _, late, over, _ in order])
         self.patience = settings.patience
         rate = sum(settings.allowances) / settings.instances / 1000.0
         self.usual = (USUAL / FADE_MS, USUAL / FADE_MS / rate) if rate else (0.0, 0.0)
 
+    def _forget_renamed(self, settings: api.Settings) -> None:
+        """What is known by a number that another class or tenant has now is not the new one's."""
+        kinds, tenants = settings.renamed(self.set)
+        self.turned = {caller: one for caller, one in self.turned.items()
+                       if caller[1] not in kinds and caller[2] not in tenants}
+        for tenant in tenants:
+            self.share_buckets.pop(tenant, None)
+
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take one event at clock time `now`; returns the actions in order."""
         self.out, self.began = [], min(self.began, now)
@@ -317,11 +322,8 @@
         if tenant >= len(self.set.allowances):
             return 0
         rate = self.set.allowances[tenant] / self.set.instances / 1000.0
-        top = 1.0 + rate * RECOVER_MS
-        room, at = self.share_room.get(tenant, (top, now))
-        room = min(top, room + (now - at) * rate)
-        self.share_room[tenant] = (room - (room >= 1.0), now)
-        return int(room < 1.0)
+        depth = 1.0 + rate * RECOVER_MS
+        return int(not self.share_buckets.setdefault(tenant, TokenBucket(depth, now)).take(now, rate, depth))
 
     # -- route: first choice, else a weighted draw ----------------------------------------------
 
@@ -337,7 +339,6 @@
         rest.sort(key=lambda core: self.rng.expovariate(core.weight(now) + 1e-9))
         return next((core for core in rest if self._gate(now, core, call.rank)), None)
 
-    # -- guards: the five rules -----------------------------------------------------------------
 
     def _may_send(self, now: float, call: Call, core: Core) -> bool:
         entry, kind, spills = core.entry, call.kind, core.entry.cell != call.destination
@@ -428,7 +429,6 @@
         if (call := self.calls.pop(ident, None)) and call.core:
             call.core.pending.pop(ident, None)
 
-    # -- events ---------------------------------------------------------------------------------
 
     def _demand(self, now: float, event: api.Demand) -> None:
         kind = self.set.classes[event.call_class]
@@ -456,7 +456,7 @@
             core.wait.put(now, delay)
             core.answered(False)
             self._overtake(core, pending[1])
-            self.taken.put(now, self.taken.get(now) + 1.0 / FADE_MS / self.lines)
+            self.taken.add(now, 1.0 / FADE_MS / self.lines)
             self._detect(now, core)
 
     def _overtake(self, core: Core, sent: float) -> None:
@@ -485,7 +485,6 @@
             if missed and core.heard <= pending[1]:
                 core.lost = self.awake
             if turned_away or missed:
-                # Its limit was missed for certain, yet it leaves N and never enters x.
                 core.verdicts.extend([2] * STREAK)
                 core.level = 2
                 core.wait.put(now, max(core.wait.get(now), self.longest))
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -205,7 +205,7 @@
             return []
         if any(part.steady for part in self.parts):
             return ["settings"]
-        self.agent.retune(config.settings.after(self.agent.settings))
+        self.agent.retune(config.settings.after(self.agent.settings, *self.agent.numbers_in_use()))
         self.agent.max_open = config.max_open
         if isinstance(self.desks, PlatformDesks):
             self.desks.connect_timeout = config.connect_timeout
--- a/seamlb/routing/core.py
+++ b/seamlb/routing/core.py
@@ -93,6 +93,11 @@
         self.counters.know(tuple(settings.kinds))
         self.tell(api.Retuned(self._for_module(settings)))
 
+    def numbers_in_use(self) -> tuple[set[int], set[int]]:
+        """Numbers of classes and tenants that calls which are open have."""
+        requests = [life.request for life in self.lives.values()]
+        return {one.call_class for one in requests}, {one.tenant for one in requests}
+
     def share_among(self, instances: int) -> None:
         """Fleet-wide limits are divided by so many instances from now on."""
         self.instances = instances
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -6,7 +6,7 @@
 from seamlb import api
 from seamlb.control import FLOORS, STEP_MS, STREAK, Controller
 from tests.mechanism import started, takes
-from tests.support import demand, listed, sent_to, settings
+from tests.support import RAW, demand, listed, sent_to, settings
 
 
 def test_ranks_follow_worth_and_traffic_over_the_share_ranks_below() -> None:
@@ -16,6 +16,16 @@
     assert controller.floor_ratio == [FLOORS[0], FLOORS[1], FLOORS[2], FLOORS[2]]
 
 
+@pytest.mark.parametrize("classes", [1, 2, 3, 5, 12])
+def test_floors_fall_from_the_papers_highest_to_its_lowest_whatever_the_number_of_classes(classes: int) -> None:
+    kinds = [RAW["Classes"][0] | {"Name": f"c{place}", "Worth": 1.0 + place} for place in range(classes)]
+    made = settings(Classes=kinds, Tenants=[{"AllowancePerS": 1.0}], OverShareWorth=0.001)
+    floors = Controller(made, 1).floor_ratio
+    assert floors[0] == FLOORS[0] and set(floors[classes:]) == {FLOORS[-1]}, "over the share the lowest"
+    assert floors[:classes][:3] == list(FLOORS[:classes]) if classes <= 3 else floors[classes - 1] == FLOORS[-1]
+    assert all(dearer > cheaper for dearer, cheaper in zip(floors[: classes - 1], floors[1:classes], strict=True))
+
+
 def test_level_1_gaps_from_the_lowest_and_level_0_lifts_the_dearest_first() -> None:
     controller, core = started()
     core.level = 1
