Load the sip front, its server client and the hook only where they are on

A process on the platform's path imported them at each start. Daemon no longer asks its own parts for their type; their settings are in a module of their own (sip/settings.py). test_layers holds that they are not loaded.

--- a/seamlb/cli.py
+++ b/seamlb/cli.py
@@ -12,7 +12,6 @@
 
 from seamlb import __version__, config, extras, log
 from seamlb.daemon import Daemon
-from seamlb.hook import Hook, HookError
 from seamlb.net.address import not_listening
 
 CONFIG = click.option(
@@ -44,6 +43,8 @@
     if not loaded.listen and not found.sip:
         raise config.ConfigError(f"{path}: listen: missing, and no sip front is on")
     if found.hook:
+        from seamlb.hook import Hook, HookError  # serving without one must not pay for it
+
         try:
             Hook(found.hook)
         except HookError as error:
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -12,18 +12,15 @@
 from seamlb import __version__, log
 from seamlb.config import Config, ConfigError
 from seamlb.desks.platform import PlatformDesks
-from seamlb.desks.sip import SipDesks
 from seamlb.extras import Plugins
 from seamlb.fronts import management
 from seamlb.fronts.platform import PlatformFront
-from seamlb.fronts.sip import SipFront
-from seamlb.hook import Hook
 from seamlb.lifecycle import Lifecycle
 from seamlb.net import descriptors
 from seamlb.net.address import split_address
+from seamlb.optional_parts import hook, sip_desks, sip_front
 from seamlb.routing.agent import Agent, Clock
 from seamlb.routing.model import Discovery, Request
-from seamlb.sip.endpoint import SipEndpoint
 from seamlb.subsystems import Subsystem, build, local_rules
 from seamlb.subsystems.lists import ListsPart
 from seamlb.subsystems.peers import PeerLink
@@ -47,7 +44,7 @@
         self.cfg_accepted = self.cfg_invalid = 0  # files at SIGHUP
         self.plugins = plugins = plugins or Plugins()
         settings, clock = config.settings, Clock().now
-        self.hook = Hook(plugins.hook) if plugins.hook else None
+        self.hook = hook(plugins)
         rules = local_rules(config, plugins, clock)
         self.lifecycle = Lifecycle(settings.patience / 1000.0, config.inherited is not None)
         self.agent = Agent(
@@ -71,15 +68,12 @@
         self.management = management.ManagementFront(
             config.management, self.lifecycle, self.figures, more, orders, self.operators)
         classify = self.hook.classify if self.hook else None
-        self.sip = SipFront(self.agent, self.lifecycle, plugins.sip, classify) if plugins.sip else None
-        self.desks: PlatformDesks | SipDesks
-        if plugins.desks:
-            self.desks = SipDesks(
-                SipEndpoint("desk"), plugins.desks.transport.upper(), settings.fields, self.agent.counters.relay)
-        else:
-            self.desks = PlatformDesks(settings.fields, config.connect_timeout, self.agent.sampled,
-                                       self.front.release, self.agent.counters.relay)
-        self.agent.desks = self.desks
+        self.sip = sip_front(plugins, self.agent, self.lifecycle, classify)
+        self.sip_desks = sip_desks(plugins, self.agent)
+        self.platform_desks = None if self.sip_desks else PlatformDesks(
+            settings.fields, config.connect_timeout, self.agent.sampled, self.front.release,
+            self.agent.counters.relay)
+        self.desks = self.agent.desks = self.sip_desks or self.platform_desks
         self.lists, self.board = lists, lists.board
         self.following: list[asyncio.Task[None]] = []  # tasks that end with the daemon
         self.term = asyncio.Event()
@@ -112,8 +106,8 @@
         config = self.config
         for part in self.parts:
             await part.bind()
-        if isinstance(self.desks, SipDesks) and self.plugins.desks:
-            await self.desks.endpoint.listen(self.plugins.desks.udp, self.plugins.desks.tcp)
+        if self.sip_desks and self.plugins.desks:
+            await self.sip_desks.endpoint.listen(self.plugins.desks.udp, self.plugins.desks.tcp)
         if config.known:
             self.board.known(config.known)
         loop = asyncio.get_running_loop()
@@ -131,8 +125,8 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(KNOW):
                     await self.board.caught_up.wait()
-                    if isinstance(self.desks, PlatformDesks):
-                        await self.desks.known()
+                    if self.platform_desks:
+                        await self.platform_desks.known()
             self.front.start(config.inherited)
         bound = {name.lower(): address for name, address in self.sip.endpoint.addresses.items()} if self.sip else {}
         if config.listen:
@@ -207,8 +201,8 @@
             return ["settings"]
         self.agent.retune(config.settings.after(self.agent.settings, *self.agent.numbers_in_use()))
         self.agent.max_open = config.max_open
-        if isinstance(self.desks, PlatformDesks):
-            self.desks.connect_timeout = config.connect_timeout
+        if self.platform_desks:
+            self.platform_desks.connect_timeout = config.connect_timeout
         self.lifecycle.longest = self.agent.settings.patience / 1000.0
         self.config = replace(self.config, **{name: getattr(config, name) for name in SETTINGS})
         log.event("settings", classes=sorted(config.settings.kinds), attempts=config.settings.limits.attempts_cap)
@@ -251,5 +245,6 @@
             await part.close()
         if self.sip:
             self.sip.close()
-        self.desks.close()
+        if self.desks:
+            self.desks.close()
         await asyncio.sleep(0.05)
--- a/seamlb/extras.py
+++ b/seamlb/extras.py
@@ -13,9 +13,9 @@
 
 from seamlb.config import Config, ConfigError
 from seamlb.discovery.consul import ConsulConfig
-from seamlb.fronts.sip import SipFrontConfig
 from seamlb.members.table import MemberKeys, MembersConfig, load_keys
 from seamlb.net.address import split_address
+from seamlb.sip.settings import SipFrontConfig
 
 if TYPE_CHECKING:
     from seamlb.agree.table import Agreed
--- a/seamlb/fronts/sip.py
+++ b/seamlb/fronts/sip.py
@@ -7,7 +7,7 @@
 import math
 import secrets
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from seamlb import log
@@ -19,29 +19,13 @@
 from seamlb.routing.agent import Agent, Life
 from seamlb.routing.model import Request
 from seamlb.sip.endpoint import Entry, Flow, SipEndpoint, Target, uri_target
+from seamlb.sip.settings import SipFrontConfig
 
 ALLOWED = ("INVITE", "ACK", "CANCEL", "BYE", "OPTIONS")
 ALLOW = ("Allow", ", ".join(ALLOWED))
 NORMAL = 16
 
 
-@dataclass(slots=True, frozen=True)
-class SipFrontConfig:
-    """Where the front listens, and the headers that describe a call with what stands in for them."""
-
-    udp: str = ""
-    tcp: str = ""
-    class_header: str = "X-Cos"
-    tenant_header: str = "X-Operator"
-    deadline_header: str = "X-Timer-Ms"
-    figures_header: str = "X-Legs"
-    default_class: str = ""
-    default_tenant: str = ""
-    default_deadline_ms: float = 0.0  # 0: the class's own deadline
-    destinations: Mapping[str, int] = field(default_factory=dict)  # class: its first-choice pool
-    connections: int = 256
-
-
 # The hook: facts of a call, known classes and tenants; gives class and tenant.
 Classify = Callable[[dict[str, Any], Mapping[str, int], Mapping[str, int]], tuple[str, str]]
 
--- /dev/null
+++ b/seamlb/optional_parts.py
@@ -0,0 +1,45 @@
+"""Parts of the daemon whose code is loaded only where they are on: a process that starts must not pay for them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from seamlb.extras import Plugins
+from seamlb.lifecycle import Lifecycle
+from seamlb.routing.agent import Agent
+
+if TYPE_CHECKING:
+    from seamlb.desks.sip import SipDesks
+    from seamlb.fronts.sip import Classify, SipFront
+    from seamlb.hook import Hook
+
+
+def hook(plugins: Plugins) -> Hook | None:
+    """The operators' Python file."""
+    if not plugins.hook:
+        return None
+    from seamlb.hook import Hook
+
+    return Hook(plugins.hook)
+
+
+def sip_front(
+    plugins: Plugins, agent: Agent, lifecycle: Lifecycle, classify: Classify | None
+) -> SipFront | None:
+    """The front that speaks SIP, beside the platform's."""
+    if plugins.sip is None:
+        return None
+    from seamlb.fronts.sip import SipFront
+
+    return SipFront(agent, lifecycle, plugins.sip, classify)
+
+
+def sip_desks(plugins: Plugins, agent: Agent) -> SipDesks | None:
+    """The client of servers that speak SIP, in place of the platform's."""
+    if plugins.desks is None:
+        return None
+    from seamlb.desks.sip import SipDesks
+    from seamlb.sip.endpoint import SipEndpoint
+
+    endpoint = SipEndpoint("desk")
+    return SipDesks(endpoint, plugins.desks.transport.upper(), agent.settings.fields, agent.counters.relay)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,9 +13,9 @@
 from seamlb.config import Config, Told, read
 from seamlb.daemon import Daemon
 from seamlb.extras import Plugins, SipDesksConfig
-from seamlb.fronts.sip import SipFrontConfig
 from seamlb.protocol.sip import Framer, Message, parameter, parse_datagram, response
 from seamlb.routing.model import Desk
+from seamlb.sip.settings import SipFrontConfig
 from tests.support import RAW
 
 PATIENCE = 20.0  # only ends a test that hangs; no test measures it
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,10 +25,11 @@
     "rollout": {"__version__", "fronts", "log", "net", "protocol", "store"},
     "hook": {"log"},
     "config": {"api", "net", "protocol"},
-    "extras": {"agree", "config", "fronts", "members", "discovery", "net", "planning", "plugins"},
+    "extras": {"agree", "config", "members", "discovery", "net", "planning", "plugins", "sip"},
     "subsystems": {"__version__", "agree", "config", "extras", "log", "members", "discovery", "net", "planning",
                    "plugins", "rollout", "routing", "zones"},
-    "daemon": {"__version__", "config", "desks", "extras", "fronts", "hook", "lifecycle", "subsystems"}
+    "optional_parts": {"desks", "extras", "fronts", "hook", "lifecycle", "routing", "sip"},
+    "daemon": {"__version__", "config", "desks", "extras", "fronts", "lifecycle", "optional_parts", "subsystems"}
     | WIRES,
     "cli": {"__version__", "admin", "config", "daemon", "emulator", "extras", "hook", "log", "members", "net",
             "planning", "plugins", "rollout"},
@@ -81,5 +82,6 @@
     pinned = {line.partition("==")[0] for line in (ROOT.parent / "requirements.txt").read_text().split()}
     assert pinned == {"tornado", "orjson", "click"}
     assert {name for name in loaded if not name.startswith("_")} <= pinned | {"seamlb", "site", "sitecustomize"}
-    extras = ("agree", "planning", "plugins", "emulator", "rollout", "store", "zones")
+    extras = ("agree", "planning", "plugins", "emulator", "rollout", "store", "zones", "sip.endpoint", "fronts.sip",
+              "desks.sip", "protocol.transaction", "protocol.dialog", "hook")
     assert not [name for name in extras if f"seamlb.{name}" in modules]
