Keep calls whose alarm comes early, and what the system has accepted when the listener closes

- A timer that ended before its time by the module's clock gave an alarm that the module passes over, and no other came: a call in the 300 ms bar then waited for ever (`Core.feed`, WakeAt).
The alarm is given once the clock says so.
- Connections that the system had accepted and the loop had not were reset with the listener when a drain closed it, set-up read or not (`Listener.stop`).
They are taken first, where no other process has the socket. test_signals.Crossings, seen to fail on (connection reset).
Looked for and found right: the early-firing bound in `Poller.get`, time-outs of attempts, the beat.

--- a/seamlb/net/listener.py
+++ b/seamlb/net/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -27,6 +28,8 @@
         self.max_unsent = max_unsent
         self.open: dict[Connection, None] = {}  # the longest without a message first
         self.port = 0
+        self._tasks: set[asyncio.Future[None]] = set()  # of connections taken at the stop
+        self._own: socket.socket | None = None  # what nobody else accepts from
 
     def start_at(self, address: str) -> None:
         """Listen on this address only."""
@@ -36,6 +39,7 @@
         sock.bind((host, port))
         sock.listen(512)
         self._start(sock)
+        self._own = sock
 
     def start_on(self, descriptor: int) -> None:
         """Listen on a socket that was handed down; other processes may accept from it too.
@@ -49,6 +53,25 @@
         self.port = sock.getsockname()[1]
         self.add_socket(sock)
 
+    def stop(self) -> None:
+        """Accept no more. What the system has accepted for us by now is taken: a close would break it off."""
+        own, self._own = self._own, None
+        while own is not None:
+            try:
+                connection, address = own.accept()
+            except OSError:  # no more are waiting, or no descriptor is left
+                break
+            self._take(connection, address)
+        super().stop()
+
+    def _take(self, connection: socket.socket, address: Any) -> None:
+        connection.setblocking(False)
+        held = self.handle_stream(IOStream(connection, max_buffer_size=self.max_buffer_size), address)
+        if held is not None:
+            task = asyncio.ensure_future(held)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
     def handle_stream(self, stream: IOStream, address: Any) -> Awaitable[None] | None:
         """Tornado's entry for an accepted connection.
 
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -8,7 +8,7 @@
 
 from seamlb import api, log
 from seamlb.routing.core import Clock, Core
-from seamlb.routing.life import CallerLeft, Heard, Life, TimedOut, Verdict, key_of
+from seamlb.routing.life import CallerLeft, Heard, Life, Overdue, TimedOut, Verdict, key_of
 from seamlb.routing.model import Advisor, Answer, Attempt, Caller, Guide, Outcome, Request
 
 __all__ = ["Agent", "Clock", "Life"]
@@ -70,7 +70,7 @@
 
     async def _live(self, life: Life) -> None:
         """The life of one request, from top to bottom."""
-        result = "fault"
+        result, overdue = "fault", self._overdue(life)
         try:
             request = asked = life.request
             if self.advisor:
@@ -102,8 +102,14 @@
             log.event("fault", where="life", call=life.request.ident, error=repr(error), trace=log.trace(error))
             self._abandon(life)
         finally:
+            overdue.cancel()
             self._close(life, result)
 
+    def _overdue(self, life: Life) -> asyncio.TimerHandle:
+        """Whoever waits for a decision is answered in time, whatever becomes of it."""
+        patience = life.request.patience_ms - life.request.sent_ms_ago + self.settings.contract.answer_slack / 2.0
+        return asyncio.get_running_loop().call_later(max(0.0, patience) / 1000.0, life.news.put_nowait, Overdue())
+
     async def _decision(self, life: Life) -> Verdict | CallerLeft:
         """What the module decides next for a call with no attempt out, unless the caller leaves first."""
         while True:
@@ -113,6 +119,10 @@
                 return news
             if isinstance(news, (api.CallOut, api.Deny, api.ReportFailure)):
                 return news
+            if isinstance(news, Overdue):
+                log.event("fault", where="decision", call=life.request.ident, error="none came in time")
+                self.feed(api.HungUp(life.number))
+                return api.ReportFailure(life.number)
 
     async def _attempt(self, life: Life, out: api.CallOut) -> Answer | Outcome | Verdict | CallerLeft:
         """Carry out one attempt to its answer or outcome; an attempt that is left early is called off."""
--- a/seamlb/routing/core.py
+++ b/seamlb/routing/core.py
@@ -15,6 +15,8 @@
 from seamlb.routing.model import Advisor, Attempt, Desk, DeskClient, Guide, Peers, Request
 from seamlb.routing.seam import Seam
 
+LEAST_WAIT = 1e-4  # seconds: a timer for less would only turn the loop until the clock has moved
+
 
 class Clock:
     """Unix milliseconds that never go back: the wall clock at the start, then the monotonic one."""
@@ -67,8 +69,7 @@
                     if life := self.lives.get(action.call):
                         life.news.put_nowait(action)
                 case api.WakeAt(token, at):
-                    delay = max(0.0, at - self.clock()) / 1000.0
-                    asyncio.get_running_loop().call_later(delay, self.tell, api.Alarm(token))
+                    self._alarm(token, at)
                 case api.Signal(target, payload):
                     if self.peers:
                         self.peers.send(target, payload)
@@ -80,6 +81,23 @@
                 case api.Follow() | api.Pull() | api.Poll():
                     pass  # the list comes unasked here, and desks may not be probed
 
+    def _alarm(self, token: int, at: float) -> None:
+        """Give an alarm once the clock says so: the module passes over one that is early, and it would be the last.
+
+        A timer may end a little before its time by this clock, whose milliseconds since 1970 are rounded.
+        """
+        early = at - self.clock()
+        if early <= 0.0:
+            asyncio.get_running_loop().call_soon(self.tell, api.Alarm(token))
+        else:
+            asyncio.get_running_loop().call_later(max(early / 1000.0, LEAST_WAIT), self._due, token, at)
+
+    def _due(self, token: int, at: float) -> None:
+        if self.clock() < at:
+            self._alarm(token, at)
+        else:
+            self.tell(api.Alarm(token))
+
     def tell(self, event: api.Event) -> None:
         """Feed news that belongs to no life; a fault is logged and must not end whoever brought the news."""
         try:
--- a/seamlb/routing/life.py
+++ b/seamlb/routing/life.py
@@ -30,6 +30,11 @@
     leg: int
 
 
+@dataclass(slots=True, frozen=True)
+class Overdue:
+    """The caller has given up by now, and the module has decided nothing."""
+
+
 @dataclass(slots=True, frozen=True)
 class Heard:
     """What a desk client told of an attempt."""
@@ -39,7 +44,7 @@
 
 
 Verdict = api.CallOut | api.Deny | api.ReportFailure | api.Withdraw
-News = Verdict | CallerLeft | TimedOut | Heard
+News = Verdict | CallerLeft | TimedOut | Overdue | Heard
 
 
 @dataclass(slots=True)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import stat
 import subprocess
 import tempfile
@@ -94,3 +95,14 @@
             await caller.next()
         await self.eventually(lambda: not daemon.front.clients)
         self.assertTrue(daemon.lifecycle.over(now, daemon.agent.unanswered, len(daemon.front.clients)))
+
+    async def test_what_the_system_has_accepted_when_the_listener_closes_is_served(self) -> None:
+        daemon = await self.start(ScriptedDesk())
+        host, _, port = self.address.rpartition(":")
+        caller = socket.create_connection((host, int(port)))  # no turn of the loop comes between these
+        caller.sendall(invite().encode())
+        daemon.front.listener.stop()
+        caller.setblocking(False)
+        told = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(caller, 65536), PATIENCE)
+        self.assertTrue(told.startswith(b"SIP/2.0 200"))
+        caller.close()
