--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,7 +8,7 @@
 from seamlb import api
 from seamlb.desks import platform
 from seamlb.net.connection import Connection, connect
-from seamlb.protocol.sip import Message
+from seamlb.protocol.sip import MAX_MESSAGE, Message
 from seamlb.routing.life import Heard, Life
 from seamlb.routing.model import Answer, Outcome
 from tests.loopback import PATIENCE, SDP, Peer, ScriptedDesk, Story, bye, invite, plain, reply, silent
@@ -112,6 +112,17 @@
         self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
         await self.eventually(lambda: not daemon.agent.lives)
 
+    async def test_an_answer_that_is_too_long_ends_the_attempt_and_another_server_takes_the_call(self) -> None:
+        async def long(peer: Peer, message: Message) -> None:
+            peer.send(reply(message, 200, body=b"x" * MAX_MESSAGE))
+
+        first, second = ScriptedDesk(long), ScriptedDesk()
+        await self.start(first, second)
+        caller = await self.caller()
+        caller.send(invite())
+        self.assertEqual((await caller.until(200)).body, SDP)
+        self.assertEqual(self.events("malformed")[0]["error"], "message too large")
+
     async def test_a_fault_in_the_task_that_keeps_a_connection_does_not_leave_the_server_without_one(self) -> None:
         desk = ScriptedDesk()
         real, tries = connect, 0
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -9,8 +9,11 @@
 
 import pytest
 
+from seamlb.daemon import Daemon
+from seamlb.fronts.platform import Client
+from seamlb.net.connection import MAX_UNSENT_CLIENT
 from seamlb.net.descriptors import CLIENT_LEAST, OWN, for_clients, for_operators
-from tests.loopback import PATIENCE, Peer, ScriptedDesk, Stand, http, invite, notices
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, Stand, Story, http, invite, notices, plain
 from tests.processes import ProcessStory
 from tests.support import RAW
 
@@ -74,3 +77,23 @@
         head = await reader.readuntil(b"\r\n")
         writer.close()
         return int(head.split(b" ")[1])
+
+
+class Unread(Story):
+    async def test_what_waits_for_a_caller_that_never_reads_is_bounded(self) -> None:
+        daemon = await self.start(ScriptedDesk())
+        caller = await self.caller()
+        (client,) = await self.clients(daemon)
+        long = plain("OPTIONS", "t")
+        long.headers[0] = ("Via", "SIP/2.0/TCP " + "p" * 8000)  # which the answer repeats
+        while not self.events("connection_end"):
+            caller.send(long)
+            await caller.writer.drain()
+            await asyncio.sleep(0)
+            waiting = client.connection.stream._write_buffer
+            self.assertLessEqual(len(waiting or b""), MAX_UNSENT_CLIENT)
+        self.assertEqual(self.events("connection_end")[0]["reason"], "overflow")
+
+    async def clients(self, daemon: Daemon) -> set[Client]:
+        await self.eventually(lambda: daemon.front.clients)
+        return daemon.front.clients
