--- a/seamlb/agree/link.py
+++ b/seamlb/agree/link.py
@@ -18,7 +18,8 @@
 from seamlb.agree.frames import Broken, Codec, Reader
 from seamlb.agree.seat import Said, Seat
 from seamlb.agree.table import Agreed
-from seamlb.net.connection import ConnectFailed, Connection, connect
+from seamlb.net.connection import Connection
+from seamlb.net.dial import ConnectFailed, connect
 from seamlb.net.listener import Listener
 from seamlb.net.reason import CloseReason
 
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from seamlb import log
-from seamlb.net.connection import ConnectFailed, Connection, connect
+from seamlb.net.connection import Connection
+from seamlb.net.dial import ConnectFailed, connect
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.report import NOTES, parse_report
 from seamlb.protocol.sip import Framer, Message, SipError, parameter, releases, response
--- a/seamlb/discovery/poller.py
+++ b/seamlb/discovery/poller.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from seamlb.net.connection import ConnectFailed, Connection, connect
+from seamlb.net.connection import Connection
+from seamlb.net.dial import ConnectFailed, connect
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.http import HttpError, Response, ResponseReader, get
 
--- /dev/null
+++ b/seamlb/fronts/calls.py
@@ -0,0 +1,57 @@
+"""Callers of the platform's front: their connections, and each call as the core sees its caller."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from seamlb.fronts.releases import SERVED, Receiver
+from seamlb.net.connection import Connection
+from seamlb.protocol.sip import Framer, Message, response
+from seamlb.routing.agent import Life
+
+if TYPE_CHECKING:
+    from seamlb.fronts.platform import PlatformFront
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    """A connection from callers."""
+
+    connection: Connection
+    receiver: Receiver
+    framer: Framer = field(default_factory=Framer)
+    open: dict[str, Call] = field(default_factory=dict)  # set-ups not answered yet
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """The caller of one request, as the core sees it."""
+
+    front: PlatformFront
+    client: Client
+    invite: Message
+    ident: str
+    life: Life | None = None
+
+    def _final(self, message: Message) -> bool:
+        self.client.open.pop(self.ident, None)
+        return self.client.connection.send(message.encode())
+
+    def stands(self, description: bytes) -> bool:
+        told = self._final(response(self.invite, 200, body=description))
+        if told:
+            self.client.connection.credit = SERVED
+            self.front.flush()
+        return told
+
+    def refused(self, back_off_ms: float) -> None:
+        extra = [("Retry-After", str(math.ceil(back_off_ms / 1000.0)))] if back_off_ms > 0 else []
+        self._final(response(self.invite, 503, *extra))
+
+    def failed(self) -> None:
+        self._final(response(self.invite, 500))
+
+    def released(self, cause: int) -> None:
+        self.front.release(self.ident, cause, self.client)
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -5,18 +5,18 @@
 import asyncio
 import math
 import re
-from dataclasses import dataclass, field
 
 from seamlb import log
+from seamlb.fronts.calls import Call, Client
 from seamlb.fronts.figures import BadCall, figures, patience
-from seamlb.fronts.releases import SERVED, UNTOLD, Receiver, Release, ReleaseQueue
+from seamlb.fronts.releases import UNTOLD, Receiver, Release, ReleaseQueue
 from seamlb.lifecycle import Lifecycle
 from seamlb.net.connection import MAX_UNSENT_CLIENT, Connection
 from seamlb.net.lag import Lag
 from seamlb.net.listener import Listener
 from seamlb.net.reason import CloseReason
-from seamlb.protocol.sip import MAX_MESSAGE, Framer, Message, SipError, digits, parameter, response
-from seamlb.routing.agent import Agent, Life
+from seamlb.protocol.sip import MAX_MESSAGE, Message, SipError, digits, parameter, response
+from seamlb.routing.agent import Agent
 from seamlb.routing.model import Request
 
 ALLOW = ("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
@@ -27,48 +27,6 @@
 SPOILT = 1024  # ids used twice that are remembered
 
 
-@dataclass(slots=True, eq=False)
-class Client:
-    """A connection from callers."""
-
-    connection: Connection
-    receiver: Receiver
-    framer: Framer = field(default_factory=Framer)
-    open: dict[str, Call] = field(default_factory=dict)  # set-ups not answered yet
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """The caller of one request, as the core sees it."""
-
-    front: PlatformFront
-    client: Client
-    invite: Message
-    ident: str
-    life: Life | None = None
-
-    def _final(self, message: Message) -> bool:
-        self.client.open.pop(self.ident, None)
-        return self.client.connection.send(message.encode())
-
-    def stands(self, description: bytes) -> bool:
-        told = self._final(response(self.invite, 200, body=description))
-        if told:
-            self.client.connection.credit = SERVED
-            self.front.flush()
-        return told
-
-    def refused(self, back_off_ms: float) -> None:
-        extra = [("Retry-After", str(math.ceil(back_off_ms / 1000.0)))] if back_off_ms > 0 else []
-        self._final(response(self.invite, 503, *extra))
-
-    def failed(self) -> None:
-        self._final(response(self.invite, 500))
-
-    def released(self, cause: int) -> None:
-        self.front.release(self.ident, cause, self.client)
-
-
 class PlatformFront:
     """Listens where the platform says."""
 
--- /dev/null
+++ b/seamlb/net/dial.py
@@ -0,0 +1,51 @@
+"""Opens TCP connections; each that never comes up leaves its log line."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from seamlb import log
+from seamlb.net.address import family, split_address
+from seamlb.net.connection import MAX_UNSENT, READ_CHUNK, Connection
+from seamlb.net.reason import CloseReason
+
+
+class ConnectFailed(Exception):
+    """A connection that never came up."""
+
+    def __init__(self, reason: CloseReason) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+
+
+async def connect(address: str, kind: str, timeout: float) -> Connection:
+    """Open a connection; ConnectFailed says why there is none, and its log line is written."""
+    host, port = split_address(address)
+    try:
+        sock = socket.socket(family(host))
+    except OSError:  # no descriptor is left
+        log.event("connection_end", kind=kind, peer=address, reason=CloseReason.LIMIT.value)
+        raise ConnectFailed(CloseReason.LIMIT) from None
+    stream = IOStream(sock, max_buffer_size=4 * READ_CHUNK, max_write_buffer_size=MAX_UNSENT)
+    try:
+        await asyncio.wait_for(stream.connect((host, port)), timeout)
+    except TimeoutError:
+        reason = CloseReason.CONNECT_TIMEOUT
+    except StreamClosedError as error:
+        refused = isinstance(error.real_error, OSError) and error.real_error.errno == errno.ECONNREFUSED
+        reason = CloseReason.REFUSED if refused else CloseReason.PEER_RESET
+    except asyncio.CancelledError:
+        stream.close()
+        log.event("connection_end", kind=kind, peer=address, reason=CloseReason.SHUTDOWN.value)
+        raise
+    except OSError:
+        reason = CloseReason.ERROR
+    else:
+        return Connection(stream, kind, address)
+    stream.close()
+    log.event("connection_end", kind=kind, peer=address, reason=reason.value)
+    raise ConnectFailed(reason)
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
 
 from seamlb import api, log
 from seamlb.routing.core import Clock, Core
@@ -35,7 +34,6 @@
         self.idle = asyncio.Event()
         self.idle.set()
 
-    # -- the life of a request ----------------------------------------------------------------
 
     def take(self, request: Request, caller: Caller) -> Life | None:
         """Take a request; its final answer comes by `caller`. None: answered already, too many open or leaving."""
@@ -214,14 +212,6 @@
                 life.caller.failed()
                 return "failed"
 
-    def figures(self) -> dict[str, Any]:
-        """What staff see; which desks are avoided is the module's word."""
-        now = self.clock()
-        return self.counters.table() | {
-            "open_requests": len(self.lives), "registry_entries": len(self.listed),
-            "out_of_rotation": sum(self.module.avoids(now, core) for core in self.module.cores.values()),
-        }
-
     def _ended(self, life: Life, outcome: Outcome, final: bool) -> None:
         """Tell the module how the attempt in the slot ended, and empty the slot."""
         attempt = self._vacate(life)
--- a/seamlb/routing/core.py
+++ b/seamlb/routing/core.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from typing import Any
 
 from seamlb import api, log
 from seamlb.control import Controller
@@ -133,6 +134,14 @@
         settings = self.seam.settings(settings)
         return self.advisor.extend(settings) if self.advisor else settings
 
+    def figures(self) -> dict[str, Any]:
+        """What staff see; which desks are avoided is the module's word."""
+        now = self.clock()
+        return self.counters.table() | {
+            "open_requests": len(self.lives), "registry_entries": len(self.listed),
+            "out_of_rotation": sum(self.module.avoids(now, core) for core in self.module.cores.values()),
+        }
+
     # -- the list of desks --------------------------------------------------------------------
 
     def list_changed(self, scope: api.Scope, desks: Sequence[Desk]) -> None:
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -11,8 +11,9 @@
 
 from seamlb import log
 from seamlb.net.address import split_address
-from seamlb.net.connection import ConnectFailed, Connection, connect
+from seamlb.net.connection import Connection
 from seamlb.net.datagram import Endpoint as Datagrams
+from seamlb.net.dial import ConnectFailed, connect
 from seamlb.net.listener import Listener
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.sip import Framer, Message, SipError, digits, parameter, parse_datagram, response
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,7 +7,8 @@
 
 from seamlb import api
 from seamlb.desks import platform
-from seamlb.net.connection import Connection, connect
+from seamlb.net.connection import Connection
+from seamlb.net.dial import connect
 from seamlb.protocol.sip import MAX_MESSAGE, Message
 from seamlb.routing.life import Heard, Life
 from seamlb.routing.model import Answer, Outcome
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -10,7 +10,7 @@
 import pytest
 
 from seamlb.daemon import Daemon
-from seamlb.fronts.platform import Client
+from seamlb.fronts.calls import Client
 from seamlb.net.connection import MAX_UNSENT_CLIENT
 from seamlb.net.descriptors import CLIENT_LEAST, OWN, for_clients, for_operators
 from tests.loopback import PATIENCE, Peer, ScriptedDesk, Stand, Story, http, invite, notices, plain
--- a/tests/test_desk_silence.py
+++ b/tests/test_desk_silence.py
@@ -6,7 +6,8 @@
 from seamlb import api
 from seamlb.daemon import Daemon
 from seamlb.desks.platform import QUIET, RETRY_MOST, UNREACHABLE
-from seamlb.net.connection import ConnectFailed, Connection
+from seamlb.net.connection import Connection
+from seamlb.net.dial import ConnectFailed
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.sip import Message
 from tests.loopback import SDP, Peer, ScriptedDesk, Story, bye, invite, silent
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,7 +9,8 @@
 from seamlb import api
 from seamlb.daemon import Daemon
 from seamlb.net import connection
-from seamlb.net.connection import ConnectFailed, Connection, connect
+from seamlb.net.connection import Connection
+from seamlb.net.dial import ConnectFailed, connect
 from seamlb.net.listener import Listener
 from seamlb.net.reason import CloseReason
 from seamlb.routing.agent import Clock
