--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,8 +20,9 @@
 
 from seamlb.cli import main
 from seamlb.protocol.sip import Message
+from tests.http_peers import Stand, http
 from tests.injector import Injector
-from tests.loopback import PATIENCE, Peer, ScriptedDesk, Stand, answer, http, invite, plain
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, answer, invite, plain
 from tests.support import RAW
 
 ROOT = Path(__file__).resolve().parent.parent
--- /dev/null
+++ b/tests/sip_peers.py
@@ -0,0 +1,173 @@
+"""Scripted SIP telephones and SIP servers over UDP and TCP."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from seamlb import api
+from seamlb.daemon import Daemon
+from seamlb.extras import Plugins, SipDesksConfig
+from seamlb.protocol.sip import Message, parameter, response
+from seamlb.sip.settings import SipFrontConfig
+from tests.loopback import SDP, Peer, Story, Udp, config
+
+
+class SipCaller:
+    """A SIP telephone over UDP or TCP, one call at a time, from the public specification."""
+
+    count = 0
+
+    def __init__(self, peer: Peer | Udp, transport: str, address: str) -> None:
+        self.peer, self.transport, self.address = peer, transport.upper(), address
+        self.seq = 0
+        self.renew()
+
+    @classmethod
+    async def dial(cls, target: str, transport: str) -> SipCaller:
+        if transport == "udp":
+            udp = await Udp.bind(target)
+            return cls(udp, transport, udp.address)
+        peer = await Peer.dial(target)
+        return cls(peer, transport, "{}:{}".format(*peer.writer.get_extra_info("sockname")))
+
+    def renew(self) -> None:
+        """Forget the last call."""
+        SipCaller.count += 1
+        self.call, self.tag, self.to = f"call{self.count}", f"t{self.count}", "<sip:desk@net>"
+        self.target = "sip:desk@net"
+
+    def build(self, method: str, *extra: tuple[str, str], number: str = "ok", **change: Any) -> Message:
+        if method not in ("ACK", "CANCEL"):
+            self.seq += 1
+        seq = change.get("seq", self.seq)
+        branch = change.get("branch", f"z9hG4bK{self.call}-{seq}{'a' if method == 'ACK' else ''}")
+        uri = f"sip:{number}@net" if method in ("INVITE", "CANCEL", "OPTIONS") else self.target
+        return Message(method, uri, headers=[
+            ("Via", f"SIP/2.0/{self.transport} {self.address};branch={branch};rport"),
+            ("Max-Forwards", "70"), ("From", f"<sip:me@net>;tag={self.tag}"), ("To", self.to),
+            ("Call-ID", self.call), ("CSeq", f"{seq} {method}"),
+            ("Contact", f"<sip:me@{self.address};transport={self.transport.lower()}>"), *extra,
+        ], body=b"offer" if method == "INVITE" else b"")
+
+    async def invite(self, number: str = "ok", *extra: tuple[str, str]) -> Message:
+        """Set a call up; its final answer, acknowledged."""
+        self.renew()
+        self.sent = self.build("INVITE", *extra, number=number)
+        self.peer.send(self.sent)
+        return await self.final()
+
+    async def final(self) -> Message:
+        while True:
+            answer = await self.peer.next()
+            if answer.status >= 200 and answer.cseq()[1] == "INVITE":
+                break
+        self.ack(answer)
+        return answer
+
+    def ack(self, answer: Message) -> None:
+        if answer.status < 300:
+            self.to = answer.get("to")
+            self.target = answer.get("contact").partition("<")[2].partition(">")[0]
+            self.peer.send(self.build("ACK"))
+        else:
+            branch = parameter(self.sent.get("via"), "branch")
+            ack = self.build("ACK", branch=branch)
+            ack.headers = [(n, answer.get("to") if n == "To" else v) for n, v in ack.headers]
+            self.peer.send(ack)
+
+
+class SipDesk:
+    """A SIP desk over UDP or TCP: what it does with a set-up is told by the number called."""
+
+    def __init__(self) -> None:
+        self.seen: list[Message] = []
+        self.hold: dict[str, Message] = {}
+        self.peer: Peer | Udp | None = None
+
+    async def start(self, transport: str) -> str:
+        self.transport = transport
+        if transport == "udp":
+            self.peer = udp = await Udp.bind()
+            self.address = udp.address
+            self.task = asyncio.create_task(self._loop(udp))
+            return self.address
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self.server.sockets[0].getsockname())
+        return self.address
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.peer = Peer(reader, writer)
+        await self._loop(self.peer)
+
+    async def _loop(self, peer: Peer | Udp) -> None:
+        try:
+            while True:
+                message = await peer.next()
+                self.seen.append(message)
+                if message.method == "INVITE" and self.methods().count("INVITE") > len(self.hold):
+                    self._invite(peer, message)
+                elif message.method == "CANCEL":
+                    peer.send(response(message, 200, tag="desk"))
+                    if (held := self.hold.get(message.get("call-id"))) and held.uri.startswith("sip:slow"):
+                        peer.send(response(held, 487, tag="desk"))
+                elif message.method == "BYE":
+                    peer.send(response(message, 200))
+        except (EOFError, OSError, asyncio.CancelledError):
+            peer.close()
+
+    def _invite(self, peer: Peer | Udp, message: Message) -> None:
+        self.hold[message.get("call-id")] = message
+        number = message.uri[4:].partition("@")[0]
+        peer.send(response(message, 100))
+        if number.startswith("ok"):
+            self.accept(message)
+        elif number.isdigit():
+            peer.send(response(message, int(number), ("X-Diagnosis", "acc"), tag="desk"))
+        elif number == "drop":
+            assert isinstance(peer, Peer)
+            peer.reset()
+
+    def accept(self, message: Message) -> None:
+        contact = ("Contact", f"<sip:desk@{self.address};transport={self.transport}>")
+        self.peer.send(response(message, 200, contact, body=SDP, tag="desk"))
+
+    def bye(self, ident: str) -> None:
+        held = self.hold[ident]
+        contact = held.get("contact").partition("<")[2].partition(">")[0]
+        self.peer.send(Message("BYE", contact, headers=[
+            ("Via", f"SIP/2.0/{self.transport.upper()} {self.address};branch=z9hG4bKbye{ident}"),
+            ("Max-Forwards", "70"), ("From", held.get("to") + ";tag=desk"), ("To", held.get("from")),
+            ("Call-ID", ident), ("CSeq", "1 BYE"), ("Reason", "Q.850;cause=16")]))
+
+    def methods(self) -> list[str]:
+        return [one.method for one in self.seen if one.method]
+
+    async def stop(self) -> None:
+        if self.transport == "tcp":
+            self.server.close()
+        if self.peer:
+            self.peer.close()
+
+
+class SipStory(Story):
+    """A daemon whose callers and servers speak SIP."""
+
+    async def start_sip(self, transport: str = "udp", front: dict[str, Any] | None = None, **change: Any) -> Daemon:
+        """An agent with the sip front on UDP and TCP, before one sip desk of pool 0."""
+        self.standin = SipDesk()
+        address = await self.standin.start(transport)
+        own = {"udp": "127.0.0.1:0", "tcp": "127.0.0.1:0"}
+        sip = SipFrontConfig(**own, default_class="a", **(front or {}))
+        plugins = Plugins(sip=sip, desks=SipDesksConfig(transport, **own), hook=change.pop("hook", ""))
+        daemon = Daemon(config(**change), plugins)
+        self.addAsyncCleanup(self._stop, daemon, (self.standin,))
+        await daemon.start()
+        daemon.agent.list_changed(api.Scope.CACHED, [self.desk(0, address)])
+        self.warm(daemon, 0)
+        return daemon
+
+    async def sip_caller(self, daemon: Daemon, transport: str) -> SipCaller:
+        caller = await SipCaller.dial(daemon.sip.endpoint.addresses[transport.upper()], transport)
+        self.addCleanup(caller.peer.close)
+        return caller
--- a/tests/test_board_restarts.py
+++ b/tests/test_board_restarts.py
@@ -8,7 +8,8 @@
 from seamlb import api
 from seamlb.discovery import board as module
 from seamlb.discovery.board import Board
-from tests.loopback import ScriptedDesk, Stand, Story, http, invite, notices
+from tests.http_peers import Stand, http, notices
+from tests.loopback import ScriptedDesk, Story, invite
 
 READY, DRAINING, GONE = api.Availability.READY, api.Availability.DRAINING, api.Availability.GONE
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -13,7 +13,8 @@
 from seamlb.fronts.calls import Client
 from seamlb.net.connection import MAX_UNSENT_CLIENT
 from seamlb.net.descriptors import CLIENT_LEAST, OWN, for_clients, for_operators
-from tests.loopback import PATIENCE, Peer, ScriptedDesk, Stand, Story, http, invite, notices, plain
+from tests.http_peers import Stand, http, notices
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, invite, plain
 from tests.processes import ProcessStory
 from tests.support import RAW
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,7 +7,8 @@
 from seamlb.discovery.board import Board
 from seamlb.discovery.consul import Consul, ConsulConfig
 from seamlb.protocol.http import HttpError, ResponseReader
-from tests.loopback import Stand, Story, http, notices
+from tests.http_peers import Stand, http, notices
+from tests.loopback import Story
 
 
 class Discovery(Story):
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -11,7 +11,8 @@
 from seamlb.daemon import TEND_EVERY
 from seamlb.fronts import management
 from seamlb.protocol.http import HttpError, Request, RequestReader, ResponseReader
-from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, bye, config, invite, plain, refuse, silent
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, bye, config, invite, plain, refuse, silent
+from tests.sip_peers import SipStory
 from tests.support import RAW
 
 
@@ -53,7 +54,7 @@
             self.assertEqual(raised.exception.status, status)
 
 
-class Operators(Story):
+class Operators(SipStory):
     async def serve(self, *desks: ScriptedDesk, **change: Any) -> Any:
         daemon = await self.start(*desks, management="127.0.0.1:0", **change)
         daemon.management.start()
--- a/tests/test_merged.py
+++ b/tests/test_merged.py
@@ -9,7 +9,8 @@
 from seamlb.discovery.consul import ConsulConfig
 from seamlb.extras import Plugins
 from seamlb.routing.model import Desk
-from tests.loopback import Stand, Story, config, http, notices
+from tests.http_peers import Stand, http, notices
+from tests.loopback import Story, config
 
 READY, DRAINS, GONE = Availability.READY, Availability.DRAINING, Availability.GONE
 
--- /dev/null
+++ b/tests/test_platform_input.py
@@ -0,0 +1,135 @@
+"""The platform's front: faults, and input that is malformed, doubled or another's."""
+
+
+from seamlb import api
+from seamlb.protocol.sip import Message
+from tests.loopback import SDP, ScriptedDesk, Story, invite, plain, silent
+from tests.support import RAW
+
+ID = "00000000000000a1"
+
+
+class Faults(Story):
+    async def test_a_fault_in_one_life_fails_that_call_alone(self) -> None:
+        daemon = await self.start(ScriptedDesk())
+        handle = daemon.agent.module.handle
+
+        def broken(now: float, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Demand) and event.call == 1 or isinstance(event, api.ListChange):
+                raise ZeroDivisionError
+            return handle(now, event)
+
+        daemon.agent.module.handle = broken
+        caller = await self.caller()
+        caller.send(invite())
+        self.assertEqual((await caller.next()).status, 500)
+        caller.send(invite("00000000000000a2"))
+        self.assertEqual((await caller.until(200)).get("call-id"), "00000000000000a2")
+        daemon.agent.list_changed(api.Scope.DELTA, [])  # whoever brings the list goes on
+        self.assertEqual([one["where"] for one in self.events("fault")], ["life", "module"])
+        self.assertEqual(daemon.agent.unanswered, 0)
+
+
+class BadInput(Story):
+    async def test_bad_messages_get_a_definite_answer(self) -> None:
+        await self.start(ScriptedDesk())
+        caller = await self.caller()
+        for bad, status in (
+            (invite(kind="nobody"), 400), (plain("PUBLISH"), 405), (plain("BYE", "unknown"), 481),
+            (b"INVITE sip:1@net SIP/2.0\r\nVia: x\r\nCall-ID: 1\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n", 400),
+            (b"INVITE sip:1@net SIP/3.0\r\nVia: x\r\nCall-ID: 1\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n", 505),
+        ):
+            caller.send(bad)
+            self.assertEqual((await caller.next()).status, status)
+        self.assertEqual(self.events("fault"), [])
+
+    async def test_what_cannot_be_read_further_ends_the_connection_with_its_reason(self) -> None:
+        daemon = await self.start(ScriptedDesk())
+        head = b"INVITE sip:1@net SIP/2.0\r\nVia: x\r\nCall-ID: 1\r\nCSeq: 1 INVITE\r\n"
+        for bad, status in (
+            (head + b"Content-Length: -5\r\n\r\n", 400), (head + b"Content-Length: 99999\r\n\r\n", 513),
+            (head + b"\r\n", 400), (b"A" * 20000, 0), (b"\xff\xfe\r\n\r\n", 0),
+        ):
+            caller = await self.caller()
+            caller.send(bad)
+            if status:
+                self.assertEqual((await caller.next()).status, status)
+            with self.assertRaises(EOFError):
+                await caller.next()
+            caller.close()
+        await self.eventually(lambda: len(self.events("connection_end")) == 5)
+        self.assertFalse(daemon.front.clients)
+        ends = [one["reason"] for one in self.events("connection_end")]
+        self.assertEqual(ends, ["malformed"] * 5)
+        self.assertEqual(self.events("fault"), [])
+
+    async def test_a_refusal_reaches_a_caller_that_sends_on(self) -> None:
+        # A close with input unread resets the connection, and the refusal was lost with it.
+        await self.start(ScriptedDesk())
+        caller = await self.caller()
+        caller.send(plain("INVITE").encode().replace(b"Content-Length: 0", b"Content-Length: 60000000"))
+        for _ in range(64):
+            caller.send(b"x" * 65536)
+            await caller.writer.drain()
+        self.assertEqual((await caller.next()).status, 513)
+        with self.assertRaises(EOFError):
+            await caller.next()
+
+    async def test_an_id_used_twice_on_a_connection_gets_one_answer_and_no_second_attempt(self) -> None:
+        desk = ScriptedDesk(silent)
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        await desk.until("INVITE")
+        for _ in range(3):
+            caller.send(invite())
+            self.assertEqual((await caller.next()).status, 482)
+        await desk.until("CANCEL")
+        await self.eventually(lambda: self.events("call_end"))
+        caller.send(invite())
+        self.assertEqual((await caller.next()).status, 482)
+        self.assertTrue(desk.seen.empty())
+
+    async def test_one_caller_ends_no_set_up_of_another(self) -> None:
+        desk = ScriptedDesk(silent)
+        daemon = await self.start(desk)
+        caller, other = await self.caller(), await self.caller()
+        caller.send(invite())
+        sent = await desk.until("INVITE")
+        for message, status in ((invite(), 482), (plain("BYE"), 481)):
+            other.send(message)
+            self.assertEqual((await other.next()).status, status)
+        other.send(plain("CANCEL"))
+        other.send(plain("OPTIONS", "t"))
+        self.assertEqual((await other.next()).status, 200)
+        self.assertEqual(len(daemon.front.calls), 1)
+        await ScriptedDesk().script(desk.peers[0], sent)
+        self.assertEqual((await caller.until(200)).body, SDP)
+
+    async def test_figures_that_no_call_has_are_refused_before_the_module_hears_of_them(self) -> None:
+        pools = {"Extra": RAW["Extra"] | {"SkilledPools": [[0], [0]]}}
+        daemon = await self.start(ScriptedDesk(), settings=pools)
+        caller = await self.caller()
+        good = invite()
+        changes = [("X-Legs", legs) for legs in (
+            "dest:nan;width:1;via:-1", "dest:0;width:inf", "dest:99;width:1", "dest:-3;width:1", "dest:0;width:0",
+            "dest:0;width:400", "dest:0;width:-1", "dest:0;via:1e300", "dest:0.5", "x", "",
+        )]
+        changes += [("X-Timer-Ms", timer) for timer in ("9" * 23, "-5", "soon", "", "nan", "9001")]
+        changes += [("Call-ID", "short"), ("Call-ID", "0" * 15 + "\xe9")]
+        for name, value in changes:
+            headers = [(key, value if key == name else old) for key, old in good.headers]
+            caller.send(Message("INVITE", good.uri, headers=headers, body=good.body))
+            self.assertEqual((await caller.next()).status, 400, (name, value))
+        for uri, body in (("sip:a b@net".replace(" ", "%20"), b""), ("sip:@net", b""), (good.uri, b"x" * 15800)):
+            caller.send(Message("INVITE", uri, headers=good.headers, body=body))
+            self.assertEqual((await caller.next()).status, 400, uri)
+        self.assertEqual(daemon.agent.taken, 0)
+
+    async def test_who_can_be_told_nothing_is_told_by_the_end(self) -> None:
+        await self.start(ScriptedDesk())
+        caller = await self.caller()
+        headers = [one for one in invite().headers if one[0] != "Call-ID"]
+        caller.send(Message("INVITE", "sip:1@net", headers=headers))
+        with self.assertRaises(EOFError):
+            await caller.next()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,8 +13,10 @@
 from click.testing import CliRunner
 
 from seamlb.cli import main
-from tests.loopback import PATIENCE, SDP, Peer, ScriptedDesk, Stand, Story, http, invite, notices, silent
+from tests.http_peers import Stand, http, notices
+from tests.loopback import PATIENCE, SDP, Peer, ScriptedDesk, invite, silent
 from tests.processes import EXAMPLE, ROOT, ProcessStory
+from tests.sip_peers import SipStory
 from tests.support import RAW
 
 
@@ -59,7 +61,7 @@
         self.assertRegex(CliRunner().invoke(main, ["version"]).output, r"^seamlb \d")
 
 
-class Hooks(Story):
+class Hooks(SipStory):
     async def run_with(self, text: str) -> int:
         path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "hook.py"
         path.write_text(text)
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -3,12 +3,13 @@
 import asyncio
 
 from seamlb.protocol.sip import Message, parameter
-from tests.loopback import SDP, Peer, SipCaller, Story, Udp
+from tests.loopback import SDP, Peer, Udp
+from tests.sip_peers import SipCaller, SipStory
 
 MIX = ("ok1", "486", "480", "504", "500", "ok2", "ok3", "503", "slow")  # what makes the module gap comes last
 
 
-class BothTransports(Story):
+class BothTransports(SipStory):
     async def outcomes(self, transport: str) -> list[tuple[int, bytes, str]]:
         """The final answers to one mix of calls, and how each call ended."""
         daemon = await self.start_sip()
@@ -38,7 +39,7 @@
         self.assertEqual((await caller.invite("drop")).status, 503)  # lost before the answer
 
 
-class Invites(Story):
+class Invites(SipStory):
     async def test_a_retransmitted_invite_is_never_a_second_attempt(self) -> None:
         daemon = await self.start_sip()
         caller = await self.sip_caller(daemon, "udp")
@@ -98,7 +99,7 @@
         self.assertTrue(parameter(answer.get("to"), "tag"))
 
 
-class Dialogs(Story):
+class Dialogs(SipStory):
     async def test_a_release_by_the_desk_reaches_the_caller_after_its_ack(self) -> None:
         daemon = await self.start_sip()
         for transport in ("udp", "tcp"):
@@ -166,7 +167,7 @@
         self.assertEqual((await caller.peer.until(481)).status, 481)
 
 
-class BadRequests(Story):
+class BadRequests(SipStory):
     async def test_each_gets_its_status(self) -> None:
         daemon = await self.start_sip()
         for transport in ("udp", "tcp"):
