--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -98,6 +98,29 @@
             await self.eventually(lambda: desk.peers)
         self.assertTrue(desk.seen.empty())
 
+    async def test_a_caller_that_cancels_while_the_connection_comes_up_is_not_sent_on(self) -> None:
+        desk, up = ScriptedDesk(), asyncio.Event()
+
+        async def late(*told: Any) -> Connection:
+            await up.wait()
+            return await connect(*told)
+
+        with mock.patch.object(platform, "connect", late):
+            daemon = await self.start()
+            daemon.agent.list_changed(api.Scope.CACHED, [self.desk(0, await desk.start())])
+            self.addAsyncCleanup(desk.stop)
+            self.warm(daemon, 0)
+            caller = await self.caller()
+            caller.send(invite())
+            await self.eventually(lambda: daemon.desks.links["d0"].waiting)
+            caller.send(plain("CANCEL", ID))
+            await self.eventually(lambda: not daemon.agent.lives)
+            up.set()
+            await self.eventually(lambda: daemon.desks.links["d0"].open)
+        daemon.desks.links["d0"].open[-1].send(plain("OPTIONS", "end").encode())
+        first = await asyncio.wait_for(desk.seen.get(), PATIENCE)
+        self.assertEqual(first.method, "OPTIONS")  # and nothing before it
+
     async def test_a_release_that_a_new_server_sends_on_its_predecessors_connection_reaches_the_caller(self) -> None:
         # The list is late: the old server is still listed, and its link has come up to the new process.
         desk = ScriptedDesk()
