--- a/tests/http_peers.py
+++ b/tests/http_peers.py
@@ -7,6 +7,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from seamlb.routing.model import Discovery
+from tests.loopback import Story
+
 Handler = Callable[["Stand", str], Awaitable[bytes | None]]
 
 
@@ -47,3 +50,18 @@
     listed = [{"id": name, "host_port": "127.0.0.1:9", "locality": "z", "cell": 1, "phase": phase}
               for name, phase in members]
     return {"rev": rev, "notices": [{"rev": rev, "pool": {"complete": complete, "members": listed}}]}
+
+
+class DiscoveryStory(Story):
+    """Stories in which a list is followed."""
+
+    async def follow(self, member: Discovery, stand: Stand) -> None:
+        """Follow the list that the server tells until the story ends."""
+        following = asyncio.create_task(member.run())
+
+        async def stop() -> None:
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
+            stand.server.close()
+
+        self.addAsyncCleanup(stop)
--- a/tests/test_board_restarts.py
+++ b/tests/test_board_restarts.py
@@ -8,7 +8,7 @@
 from seamlb import api
 from seamlb.discovery import board as module
 from seamlb.discovery.board import Board
-from tests.http_peers import Stand, http, notices
+from tests.http_peers import DiscoveryStory, Stand, http, notices
 from tests.loopback import ScriptedDesk, Story, invite
 
 READY, DRAINING, GONE = api.Availability.READY, api.Availability.DRAINING, api.Availability.GONE
@@ -21,8 +21,8 @@
     return raw
 
 
-class Restarts(Story):
-    async def follow(self, *answers: dict[str, Any] | bytes) -> tuple[Stand, list[dict[str, int]]]:
+class Restarts(DiscoveryStory):
+    async def play(self, *answers: dict[str, Any] | bytes) -> tuple[Stand, list[dict[str, int]]]:
         """A board that gives these answers, and what the list was told to be."""
         given = [one if isinstance(one, bytes) else http(one) for one in answers]
         told: list[dict[str, int]] = []
@@ -35,14 +35,7 @@
         stand = Stand(handler)
         board = Board(await stand.start(), ["z"], lambda scope, desks: told.append(
             {one.ident: one.availability for one in desks}))
-        following = asyncio.create_task(board.run())
-
-        async def stop() -> None:
-            following.cancel()
-            await asyncio.gather(following, return_exceptions=True)
-            stand.server.close()
-
-        self.addAsyncCleanup(stop)
+        await self.follow(board, stand)
         await self.eventually(lambda: len(stand.paths) == len(given) + 1)
         return stand, told
 
@@ -50,21 +43,21 @@
         return [path.split("watch=")[1].split("&")[0] for path in stand.paths]
 
     async def test_a_board_whose_numbers_went_back_is_asked_for_everything(self) -> None:
-        stand, told = await self.follow(
+        stand, told = await self.play(
             listed(9, 9, ("a", "Ready"), complete=True), {"rev": 2, "notices": []},
             listed(2, 10, ("a", "Terminating"), complete=True))
         self.assertEqual(self.asked(stand), ["0", "9", "0", "2"])
         self.assertEqual(told, [{"a": READY}, {"a": DRAINING}])
 
     async def test_an_older_list_brings_no_server_back_and_what_is_newer_in_it_is_taken(self) -> None:
-        _, told = await self.follow(
+        _, told = await self.play(
             listed(9, 9, ("a", "Terminating"), complete=True), {"rev": 2, "notices": []},
             listed(2, 4, ("a", "Ready"), ("old", "Ready"), complete=True), listed(3, 10, ("a", "Gone")))
         self.assertEqual(told, [{"a": DRAINING}, {"a": GONE}])
 
     async def test_a_list_that_stays_older_has_begun_to_count_anew_and_is_taken_in_the_end(self) -> None:
         with mock.patch.object(module, "LATE", 0.0):
-            stand, told = await self.follow(
+            stand, told = await self.play(
                 listed(9, 9, ("a", "Ready"), complete=True), {"rev": 2, "notices": []},
                 listed(2, 1, ("a", "Terminating"), complete=True))
         self.assertEqual(told, [{"a": READY}, {"a": DRAINING}])
@@ -75,7 +68,7 @@
         text = json.dumps(whole).encode()
         cut = [b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(text[:at]) + text[:at] for at in (0, 1, 40, 80)]
         forms = [http(one) for one in ([], {}, {"rev": 2}, {"rev": 2, "notices": [{"rev": 2, "pool": [1]}]}, "a")]
-        stand, told = await self.follow(listed(1, 1, ("a", "Ready"), complete=True), *cut, *forms, whole)
+        stand, told = await self.play(listed(1, 1, ("a", "Ready"), complete=True), *cut, *forms, whole)
         self.assertEqual(told, [{"a": READY}, {"a": GONE}])
         self.assertEqual(self.asked(stand), ["0", *["1"] * (len(cut) + len(forms) + 1), "2"])
         self.assertEqual(len(self.events("malformed")), len(cut) + len(forms))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -76,47 +76,39 @@
 
 
 class Servers(Story):
-    async def test_a_set_up_that_waits_for_a_connection_does_not_reach_a_server_that_drains_meanwhile(self) -> None:
+    async def waiting(self) -> tuple[Any, ScriptedDesk, Peer, asyncio.Event]:
+        """A daemon, a server, a caller whose set-up waits for the connection, and what lets that come up."""
         desk, up = ScriptedDesk(), asyncio.Event()
 
         async def late(*told: Any) -> Connection:
             await up.wait()
             return await connect(*told)
 
-        with mock.patch.object(platform, "connect", late):
-            daemon = await self.start()
-            daemon.agent.list_changed(api.Scope.CACHED, [self.desk(0, await desk.start())])
-            self.addAsyncCleanup(desk.stop)
-            self.warm(daemon, 0)
-            caller = await self.caller()
-            caller.send(invite())
-            await self.eventually(lambda: daemon.desks.links["d0"].waiting)
-            drains = self.desk(0, desk.address, api.Availability.DRAINING)
-            daemon.agent.list_changed(api.Scope.DELTA, [drains])
-            up.set()
-            self.assertEqual((await caller.next()).status, 503)
-            await self.eventually(lambda: desk.peers)
+        self.enterContext(mock.patch.object(platform, "connect", late))
+        daemon = await self.start()
+        daemon.agent.list_changed(api.Scope.CACHED, [self.desk(0, await desk.start())])
+        self.addAsyncCleanup(desk.stop)
+        self.warm(daemon, 0)
+        caller = await self.caller()
+        caller.send(invite())
+        await self.eventually(lambda: daemon.desks.links["d0"].waiting)
+        return daemon, desk, caller, up
+
+    async def test_a_set_up_that_waits_for_a_connection_does_not_reach_a_server_that_drains_meanwhile(self) -> None:
+        daemon, desk, caller, up = await self.waiting()
+        drains = self.desk(0, desk.address, api.Availability.DRAINING)
+        daemon.agent.list_changed(api.Scope.DELTA, [drains])
+        up.set()
+        self.assertEqual((await caller.next()).status, 503)
+        await self.eventually(lambda: desk.peers)
         self.assertTrue(desk.seen.empty())
 
     async def test_a_caller_that_cancels_while_the_connection_comes_up_is_not_sent_on(self) -> None:
-        desk, up = ScriptedDesk(), asyncio.Event()
-
-        async def late(*told: Any) -> Connection:
-            await up.wait()
-            return await connect(*told)
-
-        with mock.patch.object(platform, "connect", late):
-            daemon = await self.start()
-            daemon.agent.list_changed(api.Scope.CACHED, [self.desk(0, await desk.start())])
-            self.addAsyncCleanup(desk.stop)
-            self.warm(daemon, 0)
-            caller = await self.caller()
-            caller.send(invite())
-            await self.eventually(lambda: daemon.desks.links["d0"].waiting)
-            caller.send(plain("CANCEL", ID))
-            await self.eventually(lambda: not daemon.agent.lives)
-            up.set()
-            await self.eventually(lambda: daemon.desks.links["d0"].open)
+        daemon, desk, caller, up = await self.waiting()
+        caller.send(plain("CANCEL", ID))
+        await self.eventually(lambda: not daemon.agent.lives)
+        up.set()
+        await self.eventually(lambda: daemon.desks.links["d0"].open)
         daemon.desks.links["d0"].open[-1].send(plain("OPTIONS", "end").encode())
         first = await asyncio.wait_for(desk.seen.get(), PATIENCE)
         self.assertEqual(first.method, "OPTIONS")  # and nothing before it
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,21 +7,11 @@
 from seamlb.discovery.board import Board
 from seamlb.discovery.consul import Consul, ConsulConfig
 from seamlb.protocol.http import HttpError, ResponseReader
-from tests.http_peers import Stand, http, notices
+from tests.http_peers import DiscoveryStory, Stand, http, notices
 from tests.loopback import Story
 
 
-class Discovery(Story):
-    async def follow(self, member: Board | Consul, stand: Stand) -> None:
-        task = asyncio.create_task(member.run())
-
-        async def stop() -> None:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
-            stand.server.close()
-
-        self.addAsyncCleanup(stop)
-
+class Discovery(DiscoveryStory):
     async def test_the_board_is_polled_on_and_reconnected_to(self) -> None:
         told: list[tuple[int, dict[str, int]]] = []
 
