--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -1,11 +1,13 @@
 """Descriptors: idle callers can't take those of discovery, servers and operators."""
 
 import asyncio
+import errno
 import json
 import signal
 import tempfile
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import pytest
 
@@ -13,6 +15,8 @@
 from seamlb.fronts.calls import Client
 from seamlb.net.connection import MAX_UNSENT_CLIENT
 from seamlb.net.descriptors import CLIENT_LEAST, OWN, for_clients, for_operators
+from seamlb.net.dial import ConnectFailed, connect
+from seamlb.net.reason import CloseReason
 from tests.http_peers import Stand, http, notices
 from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, invite, plain
 from tests.processes import ProcessStory
@@ -80,6 +84,15 @@
         return int(head.split(b" ")[1])
 
 
+class Exhausted(Story):
+    async def test_a_connection_without_a_descriptor_is_one_that_never_came_up(self) -> None:
+        none_left = OSError(errno.EMFILE, "Too many open files")
+        with mock.patch("socket.socket", side_effect=none_left), self.assertRaises(ConnectFailed) as failed:
+            await connect("127.0.0.1:9", "desk", 1.0)
+        self.assertIs(failed.exception.reason, CloseReason.LIMIT)
+        self.assertEqual([one["reason"] for one in self.events("connection_end")], ["limit"])
+
+
 class Unread(Story):
     async def test_what_waits_for_a_caller_that_never_reads_is_bounded(self) -> None:
         daemon = await self.start(ScriptedDesk())
