--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -156,7 +156,8 @@
 
 
 class Releases(Story):
-    async def test_a_release_that_crossed_the_end_of_its_connection_is_told_on_another(self) -> None:
+    async def standing(self) -> tuple[Any, ScriptedDesk, Peer, Peer]:
+        """A daemon, a server, a caller whose call stands there, and another that has asked for something."""
         desk = ScriptedDesk()
         daemon = await self.start(desk)
         first, second = await self.caller(), await self.caller()
@@ -164,19 +165,17 @@
         await second.until(200)
         first.send(invite())
         await first.until(200)
+        return daemon, desk, first, second
+
+    async def test_a_release_that_crossed_the_end_of_its_connection_is_told_on_another(self) -> None:
+        daemon, desk, first, second = await self.standing()
         desk.peers[0].send(bye(ID, 16))
         await self.eventually(lambda: not daemon.agent.lives)
         first.close()  # it has read nothing of the release
         self.assertEqual((await second.until("BYE")).get("call-id"), ID)
 
     async def test_a_release_that_was_heard_is_told_once(self) -> None:
-        desk = ScriptedDesk()
-        daemon = await self.start(desk)
-        first, second = await self.caller(), await self.caller()
-        second.send(plain("OPTIONS", "t"))
-        await second.until(200)
-        first.send(invite())
-        await first.until(200)
+        daemon, desk, first, second = await self.standing()
         desk.peers[0].send(bye(ID, 16))
         first.send(reply_to_bye(await first.until("BYE")))
         first.send(plain("OPTIONS", "t"))
@@ -187,13 +186,7 @@
         self.assertEqual((await second.next()).status, 200)
 
     async def test_a_release_is_not_written_to_a_connection_that_has_ended_unseen(self) -> None:
-        desk = ScriptedDesk()
-        daemon = await self.start(desk)
-        first, second = await self.caller(), await self.caller()
-        second.send(plain("OPTIONS", "t"))
-        await second.until(200)
-        first.send(invite())
-        await first.until(200)
+        daemon, _, first, second = await self.standing()
         (call,) = daemon.front.calls.values()
         first.writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
         with mock.patch.object(call.client.connection, "send") as sent:  # the loop has not come to its end yet
