Agree: members answer on the connection that asked, and await answers to requests only

AgreeLink sent a member's answers to other members on a connection of its own, so the one that asked never heard anything and was closed as silent after a lease, with what was under way on it. Ruled out: the injectors (pass), slow members (answers within ms). Now PROMISE, ACCEPTED, TURNED_DOWN, GRANT, CHOSEN and BACK go back on the connection by which their receiver dialled, and only requests that are answered at once start the clock.

--- a/seamlb/agree/link.py
+++ b/seamlb/agree/link.py
@@ -16,7 +16,7 @@
 from seamlb.agree.acting import Acting
 from seamlb.agree.council import Out
 from seamlb.agree.frames import Broken, Codec, Reader
-from seamlb.agree.notes import Note
+from seamlb.agree.notes import ANSWERED, ANSWERS, Note
 from seamlb.agree.seat import Said, Seat
 from seamlb.agree.table import Agreed
 from seamlb.net.connection import Connection
@@ -25,7 +25,7 @@
 from seamlb.net.reason import CloseReason
 
 STEPS = 20  # looks a lease
-SILENT = 1.0  # leases after which a connection that we wrote on and that says nothing is dialled anew
+SILENT = 1.0  # leases after which a connection on which requests have no answer is dialled anew
 AGAIN = 0.3  # leases between two tries to reach a member
 UNSENT = 8  # notes that wait for a connection to come up; of more the newest, as notes are said again
 SPARE = 64  # connections beyond one an agent
@@ -47,7 +47,7 @@
         self.acting = Acting(self.seat.holder, zones, clock)
         self.listener = Listener("agree", len(config.first.agents) + SPARE, self._accepted)
         self.dialled: dict[str, Connection] = {}  # ours, by member
-        self.asked: dict[str, float] = {}  # when we first wrote on it with nothing heard since
+        self.asked: dict[str, float] = {}  # when we first sent a request on it with nothing heard since
         self.unsent: dict[str, deque[bytes]] = {}  # by member that is being dialled
         self.tasks: set[asyncio.Task[None]] = set()
         self.routes: dict[str, Connection] = {}  # by which others came, by name
@@ -99,10 +99,17 @@
         for to, note in out:
             if to == self.name:
                 self._received(note)
-            elif to in self.config.council:
-                self._to_member(to, self.codec.encode(to, note))
-            elif route := self.routes.get(to):
-                route.send(self.codec.encode(to, note))
+            else:
+                self._send_to(to, note)
+
+    def _send_to(self, to: str, note: Note) -> None:
+        """An answer goes back on the connection by which its receiver dialled us; requests go to members only."""
+        data, route = self.codec.encode(to, note), self.routes.get(to)
+        answers = note.kind in ANSWERS and route is not None and not route.closed
+        if to in self.config.council and not answers:
+            self._to_member(to, data, note.kind in ANSWERED)
+        elif route:
+            route.send(data)
 
     def _received(self, note: Note) -> None:
         """Have the agent act on what a note brings before any answer to it leaves.
@@ -113,12 +120,14 @@
         self.seat.received(note)
         self.look()
 
-    def _to_member(self, to: str, data: bytes) -> None:
+    def _to_member(self, to: str, data: bytes, answered: bool) -> None:
+        """Send on a connection of ours, which is dialled anew if a request on it has had no answer for too long."""
         connection, now = self.dialled.get(to), clock()
         if connection and not connection.closed and now - self.asked.get(to, now) > SILENT * self.config.lease:
             connection.close(CloseReason.SILENT)
         if connection and not connection.closed:
-            self.asked.setdefault(to, now)
+            if answered:
+                self.asked.setdefault(to, now)
             connection.send(data)
             return
         if to not in self.unsent and self.loop:
--- a/seamlb/agree/notes.py
+++ b/seamlb/agree/notes.py
@@ -28,6 +28,10 @@
     BACK = 11  # your disk has gone back: `saved` is what you had told already
 
 
+ANSWERED = frozenset({Kind.PREPARE, Kind.ACCEPT, Kind.ASK})  # requests that a member answers at once
+ANSWERS = frozenset({Kind.PROMISE, Kind.ACCEPTED, Kind.TURNED_DOWN, Kind.CHOSEN, Kind.GRANT, Kind.BACK})
+
+
 @dataclass(slots=True, frozen=True)
 class Note:
     """`born` and `saved` fence: a process's start and its count of records on the disk only go up."""
--- a/tests/test_acting.py
+++ b/tests/test_acting.py
@@ -174,6 +174,23 @@
     link.close()
 
 
+def test_members_answer_on_the_connection_that_asked_and_await_answers_to_requests_only(tmp_path: Path) -> None:
+    """Each member answered on a connection of its own, and all of them were taken for silent once a lease."""
+    link = agreeing(tmp_path)
+    dialled, route = mock.Mock(closed=False), mock.Mock(closed=False)
+    link.dialled, link.routes = {"a0": dialled}, {"a0": route}
+    link._send([("a0", Note(Kind.GRANT, "a1"))], [])
+    assert (route.send.call_count, dialled.send.call_count, link.asked) == (1, 0, {})
+    link._send([("a0", Note(Kind.STATE, "a1"))], [])
+    assert (route.send.call_count, dialled.send.call_count, link.asked) == (1, 1, {})
+    link._send([("a0", Note(Kind.ASK, "a1"))], [])
+    assert (route.send.call_count, dialled.send.call_count, list(link.asked)) == (1, 2, ["a0"])
+    route.closed = True
+    link._send([("a0", Note(Kind.GRANT, "a1"))], [])
+    assert (route.send.call_count, dialled.send.call_count) == (1, 3)
+    link.close()
+
+
 def test_a_proposal_that_is_repeated_makes_no_second_charter(tmp_path: Path) -> None:
     """Whoever calls again because an answer was lost found the values under the next number as well."""
     link = agreeing(tmp_path)
