--- a/seamlb/rollout/change.py
+++ b/seamlb/rollout/change.py
@@ -109,7 +109,11 @@
             self._enter("back", now, "an operator called it off")
         else:
             return (what, phase) in (
-                ("pause", "paused"), ("resume", "forward"), ("abort", "back"), ("abort", "undone"))
+                ("pause", "paused"),
+                ("resume", "forward"),
+                ("abort", "back"),
+                ("abort", "undone"),
+            )
         return True
 
     # -- the fleet ----------------------------------------------------------------------------
@@ -134,15 +138,19 @@
 
     def _undone(self, views: Mapping[str, View]) -> bool:
         """Is everything as it was? Each was asked anew since the way back began: an order may have come late."""
-        return all(self._is(views, name, self.plan.old.ident) and views[name].heard >= self.began
-                   for name in self.touched)
+        return all(
+            self._is(views, name, self.plan.old.ident) and views[name].heard >= self.began for name in self.touched
+        )
 
     def _hear(self, now: float, views: Mapping[str, View]) -> None:
         new = self.plan.new.ident
         target = self.target
         before = self.evidence.strata[-1].changed
-        done = frozenset(name for name in target if (view := views.get(name)) and (
-            view.running == new or (not view.running and name in before)))  # what crashed keeps its side
+        done = frozenset(
+            name
+            for name in target
+            if (view := views.get(name)) and (view.running == new or (not view.running and name in before))
+        )  # what crashed keeps its side
         self.evidence.move(done)
         self.since = {name: self.since.get(name, now) for name in done}
         for name, view in views.items():
@@ -194,8 +202,9 @@
         # No verdict from silence: who is compared must have spoken lately, the changed ones all, of the others one.
         deaf = [name for name in target if not self._fresh(now, views[name])]
         rest = [name for name in self.names if name not in target]
-        few = {kind: (got, least) for kind, least in stage.least.items()
-               if (got := self.evidence.ended(kind)[0]) < least}
+        few = {
+            kind: (got, least) for kind, least in stage.least.items() if (got := self.evidence.ended(kind)[0]) < least
+        }
         if deaf:
             self.waits = f"no fresh figures from {', '.join(deaf)}"
         elif rest and not any(name in views and self._fresh(now, views[name]) for name in rest):
@@ -213,8 +222,12 @@
         return view.sample is not None and now - view.sample.at <= FRESH and view.sample.revision == view.running
 
     def _next(self, now: float, views: Mapping[str, View]) -> None:
-        self.said.append(("rollout_stage", {
-            "stage": self.place.stage, "agents": len(self.target), "seconds": round(now - self.began, 1)}))
+        self.said.append(
+            (
+                "rollout_stage",
+                {"stage": self.place.stage, "agents": len(self.target), "seconds": round(now - self.began, 1)},
+            )
+        )
         if self.place.stage + 1 == len(self.plan.stage):
             return self._enter("done", now, "every stage held")
         self.place.stage += 1
@@ -229,10 +242,16 @@
         revision = self.plan.old.ident if back else self.plan.new.ident
         moving = {name for name, view in views.items() if view.coming}
         # An order whose effect nobody has seen yet counts as in motion: the answer may be on its way.
-        moving |= {name for name, (wanted, at) in self.ordered.items() if now - at < RETRY and not (
-            name in views and views[name].wanted == wanted and views[name].heard > at)}
-        down = {name for name in self.names if name not in views or not views[name].ready
-                or now - views[name].heard > FRESH} - moving
+        moving |= {
+            name
+            for name, (wanted, at) in self.ordered.items()
+            if now - at < RETRY and not (name in views and views[name].wanted == wanted and views[name].heard > at)
+        }
+        down = {
+            name
+            for name in self.names
+            if name not in views or not views[name].ready or now - views[name].heard > FRESH
+        } - moving
         orders = []
         for name in self.touched if back else self.target:
             view = views.get(name)
--- a/seamlb/rollout/command.py
+++ b/seamlb/rollout/command.py
@@ -16,8 +16,12 @@
 from seamlb.rollout.plan import Plan, PlanError, load_plan
 from seamlb.store import record
 
-STATE = click.option("--state", type=click.Path(path_type=Path, file_okay=False), required=True,
-                     help="The folder where the change's state is kept.")
+STATE = click.option(
+    "--state",
+    type=click.Path(path_type=Path, file_okay=False),
+    required=True,
+    help="The folder where the change's state is kept.",
+)
 PLAN = click.argument("plan", type=click.Path(path_type=Path, dir_okay=False))
 UNDONE = 3  # exit code of a change that went back
 
@@ -43,7 +47,7 @@
     try:
         place = folder.place()
     except record.RecordError as error:
-        _end(f"{error}; see docs/operators/rollout.md, \"When the file can't be trusted\"", 2)
+        _end(f'{error}; see docs/operators/rollout.md, "When the file can\'t be trusted"', 2)
     if place is None:
         _end(f"{folder.path}: no change", 2)
     return place
@@ -113,9 +117,15 @@
         _conduct(folder, place)  # it finds the wish
 
 
-for _what, _text in zip(WISHES, (
-        "Change no further agents.", "Go on, with a conductor that works already or as one.",
-        "Bring every agent back to the old revision."), strict=True):
+for _what, _text in zip(
+    WISHES,
+    (
+        "Change no further agents.",
+        "Go on, with a conductor that works already or as one.",
+        "Bring every agent back to the old revision.",
+    ),
+    strict=True,
+):
     _steer(_what, _text)
 
 
@@ -132,8 +142,10 @@
         return conductor
 
     seen = asyncio.run(ask())
-    click.echo(f"{place.change}: {place.phase}, stage {place.stage} of {len(place.plan.stage)}"
-               + (f": {place.reason}" if place.reason else ""))
+    click.echo(
+        f"{place.change}: {place.phase}, stage {place.stage} of {len(place.plan.stage)}"
+        + (f": {place.reason}" if place.reason else "")
+    )
     for name in seen.keepers:
         view = seen.views.get(name)
         if view is None:
--- a/seamlb/rollout/conductor.py
+++ b/seamlb/rollout/conductor.py
@@ -39,10 +39,14 @@
     """A keeper's word on its agent's figures; None if they are not what they should be."""
     try:
         return Sample(
-            str(told["process"]), running, at,
+            str(told["process"]),
+            running,
+            at,
             {(kind, how): int(count) for kind, ends in told["counts"].items() for how, count in ends.items()},
             {kind: {int(ms): int(count) for ms, count in times.items()} for kind, times in told["answer_ms"].items()},
-            {int(ms): int(count) for ms, count in told["lag_ms"].items()}, int(told["faults"]))
+            {int(ms): int(count) for ms, count in told["lag_ms"].items()},
+            int(told["faults"]),
+        )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
 
@@ -51,8 +55,16 @@
     """A keeper's answer to a question that was sent at a time; ValueError, KeyError or TypeError if it is none."""
     figures = told.get("figures")
     sample = sample_of(figures, told["running"], at - float(told["figures_age"])) if figures else None
-    return View(at, told["running"], bool(told["ready"]), told["coming"], told["failed"], told["wanted"],
-                int(told["crashes"]), sample)
+    return View(
+        at,
+        told["running"],
+        bool(told["ready"]),
+        told["coming"],
+        told["failed"],
+        told["wanted"],
+        int(told["crashes"]),
+        sample,
+    )
 
 
 class Folder:
@@ -131,8 +143,13 @@
         """A call to a keeper: its status (0: none) and what it told."""
         try:
             method = "GET" if body is None else "POST"
-            request = HTTPRequest(f"http://{self.keepers[agent]}{path}", method, body=body,
-                                  connect_timeout=ASK_WITHIN, request_timeout=ASK_WITHIN)
+            request = HTTPRequest(
+                f"http://{self.keepers[agent]}{path}",
+                method,
+                body=body,
+                connect_timeout=ASK_WITHIN,
+                request_timeout=ASK_WITHIN,
+            )
             answer = await self.client.fetch(request, raise_error=False)
             told = orjson.loads(answer.body) if answer.body else {}
             return (answer.code if answer.code < 599 else 0), told if isinstance(told, dict) else {}
@@ -141,8 +158,9 @@
 
     def _call(self, **more: Any) -> bytes:
         place = self.place
-        return orjson.dumps({
-            "holder": self.holder, "change": place.change, "seq": place.seq, "after": place.after} | more)
+        return orjson.dumps(
+            {"holder": self.holder, "change": place.change, "seq": place.seq, "after": place.after} | more
+        )
 
     async def _lease(self, agent: str) -> bool:
         """Take or renew; a refusal is kept and said once."""
@@ -169,8 +187,13 @@
     async def _order(self, order: Order) -> None:
         revision = msgspec.to_builtins(self.revisions[order.revision])
         status, told = await self._ask(order.agent, "/keeper/order", self._call(revision=revision))
-        log.event("rollout_order", agent=order.agent, revision=order.revision, status=status, **(
-            {} if status == 200 else {"error": told.get("error", "no answer")}))
+        log.event(
+            "rollout_order",
+            agent=order.agent,
+            revision=order.revision,
+            status=status,
+            **({} if status == 200 else {"error": told.get("error", "no answer")}),
+        )
 
     async def _all(self, work: Callable[[str], Any]) -> list[Any]:
         return list(await asyncio.gather(*(work(agent) for agent in self.keepers)))
@@ -197,8 +220,15 @@
         loop = asyncio.get_running_loop()
         await self.begin()
         course = Course(self.place, loop.time())
-        log.event("rollout", change=self.place.change, phase=self.place.phase, stage=self.place.stage,
-                  old=self.place.plan.old.ident, new=self.place.plan.new.ident, agents=len(self.keepers))
+        log.event(
+            "rollout",
+            change=self.place.change,
+            phase=self.place.phase,
+            stage=self.place.stage,
+            old=self.place.plan.old.ident,
+            new=self.place.plan.new.ident,
+            agents=len(self.keepers),
+        )
         while True:
             if (wish := self.folder.wished()) and not course.wish(wish, loop.time()):
                 log.event("rollout_wish_refused", wish=wish, phase=self.place.phase)
--- a/seamlb/rollout/figures.py
+++ b/seamlb/rollout/figures.py
@@ -40,7 +40,8 @@
         self.counts += _since(new.counts, old.counts if old else {})
         for kind, times in new.answer_ms.items():
             self.answer_ms.setdefault(kind, Counter()).update(
-                _since(times, old.answer_ms.get(kind, {}) if old else {}))
+                _since(times, old.answer_ms.get(kind, {}) if old else {})
+            )
         self.lag_ms += _since(new.lag_ms, old.lag_ms if old else {})
         self.faults += new.faults - (old.faults if old else 0)
 
@@ -112,5 +113,7 @@
 
     def ended(self, kind: str) -> tuple[int, int]:
         """Requests of a class that came to an end, at new and at old agents."""
-        return (sum(one.ended(kind) for stratum in self.strata for one in stratum.new.values()),
-                sum(one.ended(kind) for stratum in self.strata for one in stratum.old.values()))
+        return (
+            sum(one.ended(kind) for stratum in self.strata for one in stratum.new.values()),
+            sum(one.ended(kind) for stratum in self.strata for one in stratum.old.values()),
+        )
--- a/seamlb/rollout/judge.py
+++ b/seamlb/rollout/judge.py
@@ -113,8 +113,12 @@
     return _sides(stratum, count)
 
 
-ENDINGS = {"refused": ("throttled",), "failed": ("faulted",), "given up by callers": ("left",),
-           "not fulfilled": ("throttled", "faulted", "left")}
+ENDINGS = {
+    "refused": ("throttled",),
+    "failed": ("faulted",),
+    "given up by callers": ("left",),
+    "not fulfilled": ("throttled", "faulted", "left"),
+}
 
 
 def _ask(stratum: Stratum) -> dict[str, Count]:
@@ -122,11 +126,19 @@
     asked: dict[str, Count | None] = {}
     for kind in stratum.kinds():
         for what, ends in ENDINGS.items():
-            asked[f"{kind} {what}"] = _sides(stratum, lambda t, k=kind, e=ends: (  # type: ignore[misc]
-                float(sum(t.counts[k, how] for how in e)), float(t.ended(k))))
+            asked[f"{kind} {what}"] = _sides(
+                stratum,
+                lambda t, k=kind, e=ends: (  # type: ignore[misc]
+                    float(sum(t.counts[k, how] for how in e)),
+                    float(t.ended(k)),
+                ),
+            )
         for name, part in SLOW.items():
             asked[f"{kind} slower than the {name}"] = _slow(
-                stratum, lambda t, k=kind: t.answer_ms.get(k, Counter()), part)  # type: ignore[misc]
+                stratum,
+                lambda t, k=kind: t.answer_ms.get(k, Counter()),  # type: ignore[misc]
+                part,
+            )
     asked["event loop later than the p99"] = _slow(stratum, lambda t: t.lag_ms, SLOW["p99"])
     asked["crashes a second"] = _sides(stratum, lambda t: (float(t.crashes), t.seconds + t.crashes))
     asked["faults a second"] = _sides(stratum, lambda t: (float(t.faults), t.seconds))
--- a/seamlb/rollout/keeper.py
+++ b/seamlb/rollout/keeper.py
@@ -106,10 +106,15 @@
         self.disk = ""  # what is wrong with it
         self.orphans: list[list[int]] = []  # pid and birth of processes of a keeper that was killed
         self.tasks: set[asyncio.Task[None]] = set()
-        self.calls = Calls("keeper", config.at, {
-            "/keeper/state": ("GET", self._state), "/keeper/lease": ("POST", self._lease),
-            "/keeper/order": ("POST", self._order),
-        })
+        self.calls = Calls(
+            "keeper",
+            config.at,
+            {
+                "/keeper/state": ("GET", self._state),
+                "/keeper/lease": ("POST", self._lease),
+                "/keeper/order": ("POST", self._order),
+            },
+        )
         self.term = asyncio.Event()
         self.sending = False  # are orphans on their way out?
 
@@ -187,11 +192,16 @@
                 self.management[number] = "{}:{}".format(*free.getsockname()[:2])
             # All by the environment: a version that does not know one of these still starts.
             environment = os.environ | {
-                "GW_CONFIG": str(path), "GW_NAME": self.config.name, "GW_LISTEN": self.config.listen,
-                "GW_INHERITED_FD": str(self.socket.fileno()), "GW_MANAGEMENT": self.management[number],
-                "SEAMLB_MEASURES": "1"}
+                "GW_CONFIG": str(path),
+                "GW_NAME": self.config.name,
+                "GW_LISTEN": self.config.listen,
+                "GW_INHERITED_FD": str(self.socket.fileno()),
+                "GW_MANAGEMENT": self.management[number],
+                "SEAMLB_MEASURES": "1",
+            }
             process = await asyncio.create_subprocess_exec(
-                *revision.command, env=environment, pass_fds=(self.socket.fileno(),), start_new_session=True)
+                *revision.command, env=environment, pass_fds=(self.socket.fileno(),), start_new_session=True
+            )
         except OSError as error:
             log.event("process_end", process=number, revision=ident, error=str(error))
             return self._carry_out(self.keeping.exited(loop.time(), number, str(error)))
@@ -255,11 +265,18 @@
     def _state(self, request: Request) -> bytes:
         keeping, now = self.keeping, asyncio.get_running_loop().time()
         told: dict[str, Any] = {
-            "name": self.config.name, "running": keeping.running,
+            "name": self.config.name,
+            "running": keeping.running,
             "ready": bool(keeping.current and keeping.current.ready),
-            "coming": keeping.coming.revision if keeping.coming else "", "failed": keeping.failed,
-            "wanted": keeping.wanted, "crashes": keeping.crashes, "change": self.fence.change, "seq": self.fence.seq,
-            "over": self.fence.over, "holder": self.fence.holder if now < self.fence.until else "", "disk": self.disk,
+            "coming": keeping.coming.revision if keeping.coming else "",
+            "failed": keeping.failed,
+            "wanted": keeping.wanted,
+            "crashes": keeping.crashes,
+            "change": self.fence.change,
+            "seq": self.fence.seq,
+            "over": self.fence.over,
+            "holder": self.fence.holder if now < self.fence.until else "",
+            "disk": self.disk,
             "leaving": len(keeping.leaving),
         }
         if self.figures and keeping.current and self.figures[0] == keeping.current.number:
@@ -332,4 +349,3 @@
         self.calls.close()
         self.socket.close()
         log.event("kept", name=self.config.name)
-
--- a/seamlb/rollout/measures.py
+++ b/seamlb/rollout/measures.py
@@ -48,12 +48,16 @@
     def table(self) -> dict[str, Any]:
         """What `/admin/measures` shows: times as {milliseconds: how many}."""
         return {
-            "process": self.process, "version": __version__, "counts": self.counts,
-            "answer_ms": {kind: _sparse(one) for kind, one in self.answers.items()}, "lag_ms": _sparse(self.lag),
+            "process": self.process,
+            "version": __version__,
+            "counts": self.counts,
+            "answer_ms": {kind: _sparse(one) for kind, one in self.answers.items()},
+            "lag_ms": _sparse(self.lag),
             "faults": sum(log.counts[one] for one in FAULTS),
         }
 
 
 def _sparse(histogram: HdrHistogram) -> dict[str, int]:
-    return {str(step.value_iterated_to): step.count_added_in_this_iter_step
-            for step in histogram.get_recorded_iterator()}
+    return {
+        str(step.value_iterated_to): step.count_added_in_this_iter_step for step in histogram.get_recorded_iterator()
+    }
--- a/seamlb/rollout/plan.py
+++ b/seamlb/rollout/plan.py
@@ -113,6 +113,7 @@
 
 def _check(plan: Plan) -> None:
     """ValueError naming the key and what is wrong with it."""
+
     def need(true: Any, key: str, text: str) -> None:
         if not true:
             raise ValueError(f"{key}: {text}")
@@ -133,7 +134,7 @@
         if isinstance(stage.agents, str) and stage.agents != "all":
             share = stage.agents.removesuffix("%").strip()
             good = stage.agents.endswith("%") and share.replace(".", "", 1).isdigit() and 0 < float(share) <= 100
-            need(good, f"{key}.agents", f"no number, share or \"all\": {stage.agents!r}")
+            need(good, f"{key}.agents", f'no number, share or "all": {stage.agents!r}')
         elif isinstance(stage.agents, int):
             need(stage.agents > 0, f"{key}.agents", "not above 0")
         need(0 <= stage.bake < stage.most, f"{key}.most", "not above bake")
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -19,8 +19,13 @@
     """One call agent; fronts give it requests, desk clients outcomes, discovery the list."""
 
     def __init__(
-        self, settings: api.Settings, seed: int, max_open: int = 20000, clock: Callable[[], float] | None = None,
-        observe: Callable[[Request, str, int], None] | None = None, guide: Guide | None = None,
+        self,
+        settings: api.Settings,
+        seed: int,
+        max_open: int = 20000,
+        clock: Callable[[], float] | None = None,
+        observe: Callable[[Request, str, int], None] | None = None,
+        guide: Guide | None = None,
         advisor: Advisor | None = None,
     ) -> None:
         super().__init__(settings, seed, clock, guide, advisor)
@@ -34,7 +39,6 @@
         self.idle = asyncio.Event()
         self.idle.set()
 
-
     def take(self, request: Request, caller: Caller) -> Life | None:
         """Take a request; its final answer comes by `caller`. None: answered already, too many open or leaving."""
         self.look()
@@ -75,11 +79,19 @@
                 request = life.request = self.advisor.advise(self.clock(), asked, self.listed)
             preferred = request.destination != asked.destination  # a local rule comes before a plan
             grace = request.patience_ms - request.sent_ms_ago
-            self.feed(api.Demand(
-                call=life.number, call_class=request.call_class, tenant=request.tenant, grace=grace,
-                destination=request.destination if preferred else self._choice(request), slots=request.slots,
-                cut_before=request.cut_before, via=request.via, key=key_of(request.number),
-            ))
+            self.feed(
+                api.Demand(
+                    call=life.number,
+                    call_class=request.call_class,
+                    tenant=request.tenant,
+                    grace=grace,
+                    destination=request.destination if preferred else self._choice(request),
+                    slots=request.slots,
+                    cut_before=request.cut_before,
+                    via=request.via,
+                    key=key_of(request.number),
+                )
+            )
             decision = await self._decision(life)
             while isinstance(decision, api.CallOut):
                 result_of = await self._attempt(life, decision)
@@ -219,10 +231,18 @@
             return
         self.seam.ended(self.clock() / 1000.0, life.number, outcome.status)
         self._reported(attempt.desk, outcome.report)
-        self.feed(api.Ended(
-            life.number, attempt.leg, life.server, outcome.status, final, self._delay(life),
-            outcome.note, outcome.report,
-        ))
+        self.feed(
+            api.Ended(
+                life.number,
+                attempt.leg,
+                life.server,
+                outcome.status,
+                final,
+                self._delay(life),
+                outcome.note,
+                outcome.report,
+            )
+        )
         self._forget(attempt.desk)
 
     def _delay(self, life: Life) -> float:
@@ -241,8 +261,11 @@
             self._forget(left.desk)
         life.closed()
         log.event(
-            "call_end", call=life.request.ident, kind=life.request.class_name,
-            result=result, attempts=life.attempts,
+            "call_end",
+            call=life.request.ident,
+            kind=life.request.class_name,
+            result=result,
+            attempts=life.attempts,
         )
         if self.advisor:
             self.advisor.observe(life.request, result, life.attempts)
--- a/seamlb/routing/core.py
+++ b/seamlb/routing/core.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from seamlb import api, log
-from seamlb.control import Controller
+from seamlb.policy.controller import Controller
 from seamlb.routing.counters import Counters
 from seamlb.routing.life import Life
 from seamlb.routing.model import Advisor, Attempt, Desk, DeskClient, Guide, Peers, Request
@@ -33,7 +33,11 @@
     """The decision module and all that it is told: events, settings, the list of desks."""
 
     def __init__(
-        self, settings: api.Settings, seed: int, clock: Callable[[], float] | None = None, guide: Guide | None = None,
+        self,
+        settings: api.Settings,
+        seed: int,
+        clock: Callable[[], float] | None = None,
+        guide: Guide | None = None,
         advisor: Advisor | None = None,
     ) -> None:
         self.settings = settings
@@ -138,8 +142,11 @@
         """What staff see; which desks are avoided is the module's word."""
         now = self.clock()
         return self.counters.table() | {
-            "open_requests": len(self.lives), "registry_entries": len(self.listed),
-            "out_of_rotation": sum(self.module.avoids(now, core) for core in self.module.cores.values()),
+            "open_requests": len(self.lives),
+            "registry_entries": len(self.listed),
+            "out_of_rotation": sum(
+                self.module.node.avoids(now, server) for server in self.module.node.fleet.servers.values()
+            ),
         }
 
     # -- the list of desks --------------------------------------------------------------------
@@ -174,7 +181,7 @@
         if self.guide:
             now = self.clock()
             self.guide.step(now)
-            self.module.set = self._for_module(self.guide.inputs(now))
+            self.module.steer(self._for_module(self.guide.inputs(now)))
             news, self.guide.news = self.guide.news, []
             for name, facts in news:
                 log.event(name, **facts)
@@ -188,7 +195,7 @@
 
     def _reported(self, desk: str, report: Sequence[float]) -> None:
         """Bring a desk's report to the guide."""
-        if self.guide and "idle" in self.settings.fields[:len(report)]:
+        if self.guide and "idle" in self.settings.fields[: len(report)]:
             self.guide.reported(self.clock(), desk, report[self.settings.fields.index("idle")])
 
     def _listed(self, desk: Desk) -> None:
--- a/seamlb/routing/counters.py
+++ b/seamlb/routing/counters.py
@@ -28,5 +28,8 @@
         return {
             name: {kind: counted[kind] for kind in self.known}
             for name, counted in (
-                ("fulfilled", self.fulfilled), ("throttled", self.throttled), ("faulted", self.faulted))
+                ("fulfilled", self.fulfilled),
+                ("throttled", self.throttled),
+                ("faulted", self.faulted),
+            )
         } | {"relayed": self.relayed}
--- a/seamlb/routing/model.py
+++ b/seamlb/routing/model.py
@@ -9,8 +9,22 @@
 from seamlb.api import Availability, Scope, Settings, Status
 
 __all__ = [
-    "Advisor", "Answer", "Attempt", "Availability", "Caller", "Changed", "Desk", "DeskClient", "Discovery", "Guide",
-    "Heard", "Outcome", "Peers", "Request", "Scope", "Status",
+    "Advisor",
+    "Answer",
+    "Attempt",
+    "Availability",
+    "Caller",
+    "Changed",
+    "Desk",
+    "DeskClient",
+    "Discovery",
+    "Guide",
+    "Heard",
+    "Outcome",
+    "Peers",
+    "Request",
+    "Scope",
+    "Status",
 ]
 
 
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -155,7 +155,11 @@
     # -- transactions -------------------------------------------------------------------------
 
     def request(
-        self, message: Message, target: Target, deliver: Callable[[Message], None], failed: Callable[[str], None],
+        self,
+        message: Message,
+        target: Target,
+        deliver: Callable[[Message], None],
+        failed: Callable[[str], None],
         out: Callable[[], None] = lambda: None,
     ) -> Entry:
         """Start a client transaction; `failed` is told `timeout`, `connect` or `lost`, `out` that it has left."""
@@ -192,7 +196,10 @@
             self._settle(entry)
 
     def transmit(
-        self, message: Message, target: Target, broken: Callable[[str], None] = lambda how: None,
+        self,
+        message: Message,
+        target: Target,
+        broken: Callable[[str], None] = lambda how: None,
         carried: Callable[[Connection], None] = lambda connection: None,
     ) -> None:
         """Put a message on the wire, outside any transaction too (the ACK of an answer)."""
@@ -319,7 +326,10 @@
             return self._answer(response(message, 503, tag=secrets.token_hex(4)), message, flow)
         machine = (ServerInvite if message.method == "INVITE" else ServerOther)(message, flow.reliable)
         entry = Entry(
-            key, machine, lambda one: self._answer(one, message, flow, broken), self.on_ack or (lambda one: None),
+            key,
+            machine,
+            lambda one: self._answer(one, message, flow, broken),
+            self.on_ack or (lambda one: None),
             lambda how: log.event("no_ack", kind=self.kind, call=message.get("call-id"), how=how),
         )
 
--- a/seamlb/subsystems/fleet.py
+++ b/seamlb/subsystems/fleet.py
@@ -19,8 +19,9 @@
     TAKES = ("member_keys",)
 
     def __init__(self, config: Config, table: MembersConfig, keys: MemberKeys, agent: Agent) -> None:
-        self.link = MembersLink(table, keys, config.name, config.settings.instances, config.inherited is not None,
-                                agent.share_among)
+        self.link = MembersLink(
+            table, keys, config.name, config.settings.instances, config.inherited is not None, agent.share_among
+        )
         self.link.tell(f"{__version__} {config.zones[config.settings.zone] if config.zones else ''}".encode()[:32])
 
     def tables(self) -> Mapping[str, Table]:
--- a/seamlb/subsystems/plan.py
+++ b/seamlb/subsystems/plan.py
@@ -21,8 +21,13 @@
 
     TAKES = ("plan",)
 
-    def __init__(self, config: Config, first: Followed | None, agent: Agent,
-                 every: Callable[[float, str, Callable[[], None]], None]) -> None:
+    def __init__(
+        self,
+        config: Config,
+        first: Followed | None,
+        agent: Agent,
+        every: Callable[[float, str, Callable[[], None]], None],
+    ) -> None:
         self.config, self.first, self.agent, self.every = config, first, agent, every
         self.guide: Guide | None = None
 
--- a/seamlb/subsystems/zones.py
+++ b/seamlb/subsystems/zones.py
@@ -24,7 +24,8 @@
         regions = [frozenset(config.zones.index(name) for name in one.split("+")) for one in table.regions]
         stall = min(kind.on_time for kind in config.settings.classes) / 1000.0
         self.overlay = Overlay(
-            config.zones, config.settings.instances, table.bears, stall, regions, table.out, table.ramp)
+            config.zones, config.settings.instances, table.bears, stall, regions, table.out, table.ramp
+        )
         agent.seam.parts.append(self.overlay)
 
     def tables(self) -> Mapping[str, Table]:
--- a/seamlb/zones/fleet.py
+++ b/seamlb/zones/fleet.py
@@ -73,8 +73,14 @@
 class Zones:
     """All zones as one agent has them; numbers are those of the settings' list."""
 
-    def __init__(self, count: int, configured: int, regions: Sequence[frozenset[int]] = (), out: float = OUT,
-                 ramp: float = RAMP) -> None:
+    def __init__(
+        self,
+        count: int,
+        configured: int,
+        regions: Sequence[frozenset[int]] = (),
+        out: float = OUT,
+        ramp: float = RAMP,
+    ) -> None:
         self.least, self.ramp = out, ramp
         self.configured = configured  # agents; one that is alone among several takes nobody's word, its own neither
         self.zones = {number: Zone() for number in range(count)}
--- a/seamlb/zones/overlay.py
+++ b/seamlb/zones/overlay.py
@@ -24,8 +24,16 @@
 class Overlay(Part):
     """One agent's: fed with its attempts and the others' votes, asked what its module is to believe."""
 
-    def __init__(self, names: Sequence[str], configured: int, bears: float, stall: float,
-                 regions: Sequence[frozenset[int]] = (), out: float = OUT, ramp: float = RAMP) -> None:
+    def __init__(
+        self,
+        names: Sequence[str],
+        configured: int,
+        bears: float,
+        stall: float,
+        regions: Sequence[frozenset[int]] = (),
+        out: float = OUT,
+        ramp: float = RAMP,
+    ) -> None:
         self.names, self.bears, self.stall = names, bears, stall
         self.sight = Sight()
         self.zones = Zones(len(names), configured, regions, out, ramp)
@@ -93,8 +101,7 @@
             self.since[desk.ident] = unix_ms
         desk = replace(desk, since_ms=max(desk.since_ms, self.since.get(desk.ident, 0.0)))
         part = self.zones.part(now, desk.zone)
-        if part < math.inf and not self.paces.may(
-                now, desk.ident, self.bears * part / self.divisor, self.place):
+        if part < math.inf and not self.paces.may(now, desk.ident, self.bears * part / self.divisor, self.place):
             return replace(desk, availability=Availability.DRAINING)
         return desk
 
@@ -141,12 +148,21 @@
     def table(self, now: float) -> dict[str, Any]:
         """What `/admin/zones` shows."""
         own = self.vote(now)
-        return {"divisor": self.divisor, "zones": [{
-            "name": name, "state": zone.state.value, "forced": zone.forced.value if zone.forced else "",
-            "for_s": round(now - zone.since, 1) if zone.since > -math.inf else None, "flaps": zone.flaps,
-            "part": None if (part := self.zones.part(now, number)) == math.inf else round(part, 3),
-            "we_see_it_fail": bool(own.fails >> number & 1),
-            "others_see": sum(bool(one.sees >> number & 1) for one in self.votes.values()),
-            "others_see_it_fail": sum(bool(one.fails >> number & 1) for one in self.votes.values()),
-            "others_out": sum(bool(one.out >> number & 1) for one in self.votes.values()),
-        } for (number, zone), name in zip(self.zones.zones.items(), self.names, strict=True)]}
+        return {
+            "divisor": self.divisor,
+            "zones": [
+                {
+                    "name": name,
+                    "state": zone.state.value,
+                    "forced": zone.forced.value if zone.forced else "",
+                    "for_s": round(now - zone.since, 1) if zone.since > -math.inf else None,
+                    "flaps": zone.flaps,
+                    "part": None if (part := self.zones.part(now, number)) == math.inf else round(part, 3),
+                    "we_see_it_fail": bool(own.fails >> number & 1),
+                    "others_see": sum(bool(one.sees >> number & 1) for one in self.votes.values()),
+                    "others_see_it_fail": sum(bool(one.fails >> number & 1) for one in self.votes.values()),
+                    "others_out": sum(bool(one.out >> number & 1) for one in self.votes.values()),
+                }
+                for (number, zone), name in zip(self.zones.zones.items(), self.names, strict=True)
+            ],
+        }
--- a/tests/agreed.py
+++ b/tests/agreed.py
@@ -80,9 +80,14 @@
                 values = self._values(charter, stance)
                 for who, other_start, other_end, other in plain:
                     both = min(end, other_end) - max(start, other_start)
-                    if who != name and both > 0.0 and any(
+                    if (
+                        who != name
+                        and both > 0.0
+                        and any(
                             not KINDS[rule.kind].keeps(name, values[field], rule.value)
-                            for field, rule in other.fields.items()):
+                            for field, rule in other.fields.items()
+                        )
+                    ):
                         total += both
         return total
 
@@ -93,7 +98,7 @@
     def __init__(self, folder: Path, size: int = 5, council: int = 3) -> None:
         self.folder, self.names = folder, [f"a{n}" for n in range(size)]
         self.members = self.names[:council]
-        self.may = self.names[:council + 1]  # become members
+        self.may = self.names[: council + 1]  # become members
         self.hosts = {name: own_host() for name in self.names}
         self.injectors: dict[tuple[str, str], Injector] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
@@ -102,13 +107,16 @@
 
     async def start(self, *, ways: Mapping[str, tuple[str, ...]] | None = None) -> None:
         (self.folder / "founding.toml").write_text(
-            f"council = {json.dumps(self.members)}\nagents = {json.dumps(self.names)}\n{RULES}")
+            f"council = {json.dumps(self.members)}\nagents = {json.dumps(self.names)}\n{RULES}"
+        )
         self.auditor = Auditor(first := founding(self.folder / "founding.toml"))
         self.newest = first
         (self.folder / "keys").write_text(f'send = 1\n[keys]\n1 = "{"11" * 32}"\n')
         (self.folder / "keys").chmod(0o600)
-        members = [{"id": f"d{n}", "host_port": "127.0.0.1:9", "cell": n, "phase": "Ready", "up_since_ms": 0}
-                   for n in range(2)]
+        members = [
+            {"id": f"d{n}", "host_port": "127.0.0.1:9", "cell": n, "phase": "Ready", "up_since_ms": 0}
+            for n in range(2)
+        ]
         known = {"rev": 1, "notices": [{"rev": 1, "pool": {"complete": True, "members": members}}]}
         for name in self.names:
             council = []
@@ -118,11 +126,19 @@
             (self.folder / name).mkdir()
             (self.folder / f"{name}.toml").write_text(
                 f'[agree]\nlisten = "{self.hosts[name]}:7100"\nfounding = "founding.toml"\nstate = "{name}"\n'
-                f'keys = "keys"\ncouncil = {json.dumps(council)}\nwithin = {WITHIN}\n')
-            (self.folder / f"{name}.json").write_text(json.dumps({
-                "settings": RAW | {"Instances": 5, "Tenants": [{"Name": "t", "AllowancePerS": 10.0}]},
-                "name": name, "listen": f"{self.hosts[name]}:5060", "management": f"{self.hosts[name]}:7001",
-                "known": known}))
+                f'keys = "keys"\ncouncil = {json.dumps(council)}\nwithin = {WITHIN}\n'
+            )
+            (self.folder / f"{name}.json").write_text(
+                json.dumps(
+                    {
+                        "settings": RAW | {"Instances": 5, "Tenants": [{"Name": "t", "AllowancePerS": 10.0}]},
+                        "name": name,
+                        "listen": f"{self.hosts[name]}:5060",
+                        "management": f"{self.hosts[name]}:7001",
+                        "known": known,
+                    }
+                )
+            )
         for name in self.names:
             await self.begin(name, (ways or {}).get(name, GOOD))
 
@@ -131,8 +147,16 @@
         self.starts[name] = self.starts.get(name, -1) + 1
         with open(self.folder / f"{name}.{self.starts[name]}.log", "wb") as out:
             self.processes[name] = await asyncio.create_subprocess_exec(
-                *command, "serve", "--config", str(self.folder / f"{name}.json"),
-                "--plugins", str(self.folder / f"{name}.toml"), cwd=ROOT, stdout=out, stderr=out)
+                *command,
+                "serve",
+                "--config",
+                str(self.folder / f"{name}.json"),
+                "--plugins",
+                str(self.folder / f"{name}.toml"),
+                cwd=ROOT,
+                stdout=out,
+                stderr=out,
+            )
 
     async def kill(self, name: str) -> None:
         self.processes[name].kill()
@@ -182,6 +206,7 @@
     async def all_act(self, number: int, *but: str, stance: str = "in force") -> None:
         async def they_do() -> bool:
             return all([await self.acts(one) == (number, stance) for one in self.names if one not in but])
+
         try:
             await self.until(they_do)
         except TimeoutError:
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from seamlb import api
-from seamlb.control import Controller
+from seamlb.policy.controller import Controller
 from tests.support import cold_allowance, demand, entry, listed, sent_to, settings
 
 SERVERS = 8
@@ -39,7 +39,8 @@
         self.rng = random.Random(seed)
         fleet_rate = case.capacity * SERVERS
         self.settings = settings(
-            Instances=case.nodes, Tenants=[{"Name": "office", "AllowancePerS": fleet_rate}], OverShareWorth=1.0)
+            Instances=case.nodes, Tenants=[{"Name": "office", "AllowancePerS": fleet_rate}], OverShareWorth=1.0
+        )
         self.started = api.ListChange(api.Scope.DELTA, (entry(COLD, since=STARTED),))
         self.shares = [self.rng.choice(SHARES) if case.uneven else 1.0 for _ in range(case.nodes)]
         self.processes = [self._running(fleet_rate * share / sum(self.shares)) for share in self.shares]
@@ -51,8 +52,8 @@
         """A process that has run for long and takes `rate` calls a second."""
         process = Controller(self.settings, self.rng.randrange(1 << 30))
         listed(process, 0.0, *range(1, SERVERS + 1))
-        process.began = -math.inf
-        process.taken.put(0.0, rate / 1000.0 / process.lines)
+        process.node.began = -math.inf
+        process.node.answers.put(0.0, rate / 1000.0 / process.node.fleet.lines)
         process.handle(STARTED, self.started)
         return process
 
--- a/tests/council.py
+++ b/tests/council.py
@@ -21,15 +21,24 @@
 def founding(agents: int, council: int) -> Charter:
     names = tuple(f"a{place:03}" for place in range(agents))
     parts = dict.fromkeys(names, 1.0)
-    return Charter(1, "", names[:council], names, {
-        "divisor": Field("share", {"whole": 2.0 * agents, "parts": parts},
-                         {"whole": 2.0 * agents, "parts": dict.fromkeys(names, 0.25)}),
-        "held": Field("held", [], ["d1", "d2", "d3"]),
-        "limit": Field("limit", 100, 10),
-        "owner": Field("owner", names[0], ""),
-        "left": Field("left", {"zones": ZONES, "left": []}, {"zones": ZONES, "left": []}),
-        "note": Field("free", "", ""),
-    })
+    return Charter(
+        1,
+        "",
+        names[:council],
+        names,
+        {
+            "divisor": Field(
+                "share",
+                {"whole": 2.0 * agents, "parts": parts},
+                {"whole": 2.0 * agents, "parts": dict.fromkeys(names, 0.25)},
+            ),
+            "held": Field("held", [], ["d1", "d2", "d3"]),
+            "limit": Field("limit", 100, 10),
+            "owner": Field("owner", names[0], ""),
+            "left": Field("left", {"zones": ZONES, "left": []}, {"zones": ZONES, "left": []}),
+            "note": Field("free", "", ""),
+        },
+    )
 
 
 def changed(charter: Charter, rng: random.Random) -> Charter:
@@ -39,8 +48,10 @@
     values = {
         "divisor": {"whole": whole, "parts": parts},
         "held": sorted(rng.sample(["d1", "d2", "d3"], rng.randint(0, 3))),
-        "limit": rng.randint(10, 200), "owner": rng.choice(charter.agents),
-        "left": {"zones": ZONES, "left": sorted(rng.sample(ZONES, rng.randint(0, 3)))}, "note": str(rng.random()),
+        "limit": rng.randint(10, 200),
+        "owner": rng.choice(charter.agents),
+        "left": {"zones": ZONES, "left": sorted(rng.sample(ZONES, rng.randint(0, 3)))},
+        "note": str(rng.random()),
     }
     return charter.next(**{name: values[name] for name in rng.sample(sorted(values), rng.randint(1, 2))})
 
@@ -82,6 +93,7 @@
 
     def _wake(self, node: Node) -> None:
         """Start a process from what its disk has."""
+
         def save(body: bytes) -> None:
             node.disk = body
 
@@ -185,5 +197,6 @@
     def in_force(self, number: int) -> int:
         """How many act on it as in force."""
         return sum(
-            one.up and one.holder.newest.number == number
-            and one.holder.stance(self.now * one.rate) is Stance.PLAIN for one in self.nodes.values())
+            one.up and one.holder.newest.number == number and one.holder.stance(self.now * one.rate) is Stance.PLAIN
+            for one in self.nodes.values()
+        )
--- a/tests/exhaustive.py
+++ b/tests/exhaustive.py
@@ -68,8 +68,9 @@
     return found
 
 
-def supplies(problem: Problem, demand: dict[tuple[str, str, str], int],
-             pairs: list[tuple[str, str]]) -> dict[tuple[int, ...], tuple[int, tuple[int, ...]]]:
+def supplies(
+    problem: Problem, demand: dict[tuple[str, str, str], int], pairs: list[tuple[str, str]]
+) -> dict[tuple[int, ...], tuple[int, tuple[int, ...]]]:
     """By units carried of each (class, district): the best worth and the canonical split that has it."""
     out: dict[tuple[int, ...], tuple[int, tuple[int, ...]]] = {}
     offered = sum(demand.values())
@@ -96,9 +97,13 @@
     return out
 
 
-def deliveries(problem: Problem, desks: list[PlanDesk], given: dict[str, tuple[str, ...]],
-               pairs: list[tuple[str, str]], wanted: dict[tuple[int, ...], object],
-               ) -> dict[tuple[int, ...], tuple[int, tuple[int, ...]]]:
+def deliveries(
+    problem: Problem,
+    desks: list[PlanDesk],
+    given: dict[str, tuple[str, ...]],
+    pairs: list[tuple[str, str]],
+    wanted: dict[tuple[int, ...], object],
+) -> dict[tuple[int, ...], tuple[int, tuple[int, ...]]]:
     """By units carried of each (class, district): minus the least distance, and the canonical routes that have it."""
     most = tuple(max(one[place] for one in wanted) for place in range(len(pairs))) if wanted else ()
     states: dict[tuple[int, ...], tuple[int, tuple[int, ...]]] = {(0,) * len(pairs): (0, ())}
@@ -114,8 +119,10 @@
                 new = tuple(a + b for a, b in zip(state, step, strict=True))
                 if any(a > b for a, b in zip(new, most, strict=True)):
                     continue
-                key = (distance - sum(a * b for a, b in zip(step, away, strict=True)),
-                       routes + tuple(step[place] for place in slots))
+                key = (
+                    distance - sum(a * b for a, b in zip(step, away, strict=True)),
+                    routes + tuple(step[place] for place in slots),
+                )
                 if new not in after or key > after[new]:
                     after[new] = key
         states = after
@@ -126,17 +133,27 @@
     """A small problem, often tight and often without a plan; few units, so that it can be searched."""
     rng = random.Random(seed)
     kinds = tuple(
-        Kind(f"k{n}", rng.choice((1, 1, 3, 5)), rng.choice((8000, 10000)), rng.choice(("wait", "loss")),
-             rng.choice((0, 2000)), rng.choice((50_000, 100_000)), desks=rng.choice((0, 0, 0, 0, 1, 1, 2)),
-             districts=rng.choice((0,) * 7 + (1, 2)), survive=rng.choice(("none",) * 6 + ("desk", "district")))
-        for n in range(rng.randint(1, 3)))
+        Kind(
+            f"k{n}",
+            rng.choice((1, 1, 3, 5)),
+            rng.choice((8000, 10000)),
+            rng.choice(("wait", "loss")),
+            rng.choice((0, 2000)),
+            rng.choice((50_000, 100_000)),
+            desks=rng.choice((0, 0, 0, 0, 1, 1, 2)),
+            districts=rng.choice((0,) * 7 + (1, 2)),
+            survive=rng.choice(("none",) * 6 + ("desk", "district")),
+        )
+        for n in range(rng.randint(1, 3))
+    )
     names = [k.name for k in kinds]
     districts = tuple(f"d{n}" for n in range(rng.randint(1, 3)))
     times = {(a, b): 0 if a == b else 0 for a in districts for b in districts}
     for a, b in itertools.combinations(districts, 2):
         times[a, b] = times[b, a] = rng.choice((9200, 9200, 25000))
-    offices = tuple(Office(f"o{n}", rng.choice((0, 300, 500)), rng.choice((0,) * 7 + (400,)))
-                    for n in range(rng.randint(1, 2)))
+    offices = tuple(
+        Office(f"o{n}", rng.choice((0, 300, 500)), rng.choice((0,) * 7 + (400,))) for n in range(rng.randint(1, 2))
+    )
     count = rng.choice((1, 2, 3, 3, 4, 4, 5, 6, 7, 8))
     desks, product = [], 1
     for n in range(count):
@@ -147,21 +164,59 @@
         product *= 2 ** len(skills)
         alike = desks[-1] if desks and rng.random() < 0.3 else None
         if alike and 2 ** len(alike.skills) <= 2 ** len(skills):
-            desks.append(PlanDesk(f"j{n}", **{f: getattr(alike, f) for f in (
-                "district", "agents", "rate_milli", "skills", "second", "pinned", "forbidden", "most_classes",
-                "fixed_cost", "agent_cost", "cold")}))
+            desks.append(
+                PlanDesk(
+                    f"j{n}",
+                    **{
+                        f: getattr(alike, f)
+                        for f in (
+                            "district",
+                            "agents",
+                            "rate_milli",
+                            "skills",
+                            "second",
+                            "pinned",
+                            "forbidden",
+                            "most_classes",
+                            "fixed_cost",
+                            "agent_cost",
+                            "cold",
+                        )
+                    },
+                )
+            )
             continue
         pinned = {k for k in names if rng.random() < (0.05 if k in skills else 0.001)}
-        desks.append(PlanDesk(
-            f"j{n}", rng.choice(districts), rng.choice((0, 1, 2, 2, 3, 3, 4, 5)), rng.choice((150, 500, 5000)),
-            frozenset(skills), frozenset(k for k in skills if rng.random() < 0.2), frozenset(pinned),
-            frozenset(k for k in names if rng.random() < 0.03), rng.choice((0, 0, 0, 1, 2)),
-            rng.choice((0, 1, 5, 10**9)), rng.choice((0, 0, 1, 2)), rng.random() < 0.1))
+        desks.append(
+            PlanDesk(
+                f"j{n}",
+                rng.choice(districts),
+                rng.choice((0, 1, 2, 2, 3, 3, 4, 5)),
+                rng.choice((150, 500, 5000)),
+                frozenset(skills),
+                frozenset(k for k in skills if rng.random() < 0.2),
+                frozenset(pinned),
+                frozenset(k for k in names if rng.random() < 0.03),
+                rng.choice((0, 0, 0, 1, 2)),
+                rng.choice((0, 1, 5, 10**9)),
+                rng.choice((0, 0, 1, 2)),
+                rng.random() < 0.1,
+            )
+        )
     cells = [(k, d, o.name) for k in names for d in districts for o in offices]
     demand = {cell: rng.choice((0, 1, 1, 2)) for cell in rng.sample(cells, min(len(cells), rng.randint(1, 6)))}
     pairs = [(d.name, k) for d in desks for k in sorted(d.skills)]
     current = frozenset(p for p in pairs if rng.random() < 0.4) if rng.random() < 0.5 else None
     total = sum(d.cost for d in desks)
-    return Problem(districts, times, offices, kinds, tuple(desks), demand, grain=rng.choice((300, 700)),
-                   budget=rng.choice((None, None, total, total // 2, total // 3, 3)), current=current,
-                   moves=rng.choice((None, None, 0, 1, 3, 5)) if current is not None else None)
+    return Problem(
+        districts,
+        times,
+        offices,
+        kinds,
+        tuple(desks),
+        demand,
+        grain=rng.choice((300, 700)),
+        budget=rng.choice((None, None, total, total // 2, total // 3, 3)),
+        current=current,
+        moves=rng.choice((None, None, 0, 1, 3, 5)) if current is not None else None,
+    )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -47,8 +47,9 @@
 
 def check_files(test: unittest.TestCase, folder: Path, says: str) -> None:
     """`check-config` of c.json with p.toml: good if `says` is empty, else one line with it and exit code 2."""
-    told = CliRunner().invoke(main, [
-        "check-config", "--config", str(folder / "c.json"), "--plugins", str(folder / "p.toml")])
+    told = CliRunner().invoke(
+        main, ["check-config", "--config", str(folder / "c.json"), "--plugins", str(folder / "p.toml")]
+    )
     test.assertEqual(told.exit_code, 2 if says else 0, told.output)
     test.assertIn(says, told.output)
     test.assertEqual(told.output.count("\n"), 1, told.output)
@@ -135,11 +136,22 @@
 
     def configuration(self, name: str = "config.json", **settings: Any) -> str:
         """A configuration's file; the name as plans give it."""
-        members = [{"id": f"d{n}", "host_port": desk.address, "cell": n, "phase": "Ready", "up_since_ms": 0}
-                   for n, desk in enumerate(self.desks)]
+        members = [
+            {"id": f"d{n}", "host_port": desk.address, "cell": n, "phase": "Ready", "up_since_ms": 0}
+            for n, desk in enumerate(self.desks)
+        ]
         known = {"rev": 1, "notices": [{"rev": 1, "pool": {"complete": True, "members": members}}]}
-        (self.folder / name).write_text(json.dumps({
-            "settings": RAW | settings, "known": known, "listen": "127.0.0.1:1", "name": "x", "board": self.board}))
+        (self.folder / name).write_text(
+            json.dumps(
+                {
+                    "settings": RAW | settings,
+                    "known": known,
+                    "listen": "127.0.0.1:1",
+                    "name": "x",
+                    "board": self.board,
+                }
+            )
+        )
         return name
 
     def revision(self, name: str, command: Sequence[str] = GOOD, config: str = "config.json") -> str:
@@ -153,11 +165,12 @@
         for stage in stages:
             least = stage.get("least")
             text += "[[stage]]\n" + "".join(
-                f"{key} = {json.dumps(value)}\n" for key, value in stage.items() if key != "least")
+                f"{key} = {json.dumps(value)}\n" for key, value in stage.items() if key != "least"
+            )
             if least:
                 text += "[stage.least]\n" + "".join(f"{key} = {value}\n" for key, value in least.items())
         for agent, at in self.at.items():
-            text += f"[[agent]]\nname = \"{agent}\"\nkeeper = \"{at}\"\n"
+            text += f'[[agent]]\nname = "{agent}"\nkeeper = "{at}"\n'
         path.write_text(text)
         return path
 
@@ -167,8 +180,16 @@
         """A process of the program whose lines go to NAME.log."""
         with open(self.folder / f"{name}.log", "ab") as out:
             return await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "seamlb", "rollout", *arguments, cwd=ROOT, env=os.environ | environment,
-                stdout=out, stderr=out)
+                sys.executable,
+                "-m",
+                "seamlb",
+                "rollout",
+                *arguments,
+                cwd=ROOT,
+                env=os.environ | environment,
+                stdout=out,
+                stderr=out,
+            )
 
     async def start(self, **environment: str) -> None:
         for desk in self.desks:
@@ -182,7 +203,8 @@
             self.listens[name], at = f"{host}:5060", f"{host}:7001"
             (self.folder / f"{name}.toml").write_text(
                 f'name = "{name}"\nlisten = "{self.listens[name]}"\nat = "{at}"\nstate = "{name}"\n'
-                f"[revision]\n{self.revision('old')}")
+                f"[revision]\n{self.revision('old')}"
+            )
             await self.keep(name, **environment)
             if self.injected:
                 self.injectors[name] = Injector(at)
@@ -222,8 +244,9 @@
         found = []
         for name in self.at:
             path = self.folder / name / "keeper"
-            found.append(json.loads(path.read_bytes().partition(b"\n")[2])["revision"]["name"]
-                         if path.exists() else "old")
+            found.append(
+                json.loads(path.read_bytes().partition(b"\n")[2])["revision"]["name"] if path.exists() else "old"
+            )
         return found
 
     async def stop(self) -> None:
--- a/tests/gossip.py
+++ b/tests/gossip.py
@@ -19,8 +19,15 @@
 class Network:
     """Instances i0, i1, ..., each with its view; what they send goes through the wire's bytes."""
 
-    def __init__(self, size: int, seed: int = 1, loss: float = 0.0, delay: float = 0.02, doubles: float = 0.0,
-                 wire: bool = True) -> None:
+    def __init__(
+        self,
+        size: int,
+        seed: int = 1,
+        loss: float = 0.0,
+        delay: float = 0.02,
+        doubles: float = 0.0,
+        wire: bool = True,
+    ) -> None:
         self.rng = random.Random(seed)
         self.now, self.loss, self.delay, self.doubles, self.wire = 0.0, loss, delay, doubles, wire
         self.queue: list[tuple[float, int, str, str, Any]] = []
@@ -42,8 +49,14 @@
     def start(self, name: str, address: str = "", seeds: tuple[str, ...] = ("i0", "i1", "i2")) -> Swim:
         """Start an instance, anew if there was one."""
         at = address or self.address(name)
-        swim = Swim(name, at, [self.address(one) for one in seeds], int((EPOCH + self.now) * 1000),
-                    random.Random(self.rng.random()), self.now)
+        swim = Swim(
+            name,
+            at,
+            [self.address(one) for one in seeds],
+            int((EPOCH + self.now) * 1000),
+            random.Random(self.rng.random()),
+            self.now,
+        )
         self.swims[at], self.guards[at] = swim, Guard(KEY, 1, EPOCH + self.now)
         self.due[at] = self.now + self.rng.random() * TICK
         return swim
@@ -57,8 +70,14 @@
 
     def partition(self, *sides: set[str]) -> None:
         """Names on different sides don't hear each other; without sides all is well."""
-        self.cut = {(self.address(a), self.address(b)) for one in sides for other in sides if one is not other
-                    for a in one for b in other}
+        self.cut = {
+            (self.address(a), self.address(b))
+            for one in sides
+            for other in sides
+            if one is not other
+            for a in one
+            for b in other
+        }
 
     def send(self, source: str, out: Out) -> None:
         for target, message in out:
@@ -107,8 +126,11 @@
 
     def agree(self, names: set[str], among: set[str] | None = None) -> bool:
         """Do they all know just these as living?"""
-        return all(set(swim.living()) == names for swim in self.swims.values()
-                   if swim.name in (among if among is not None else names))
+        return all(
+            set(swim.living()) == names
+            for swim in self.swims.values()
+            if swim.name in (among if among is not None else names)
+        )
 
     def until_agreed(self, names: set[str], most: float = 120.0, among: set[str] | None = None) -> float:
         """Seconds until they do; most if they don't."""
@@ -119,8 +141,11 @@
 
     def events(self, event: str, name: str = "") -> list[tuple[float, str]]:
         """When, and who said so; of one instance if it is named."""
-        return [(at, who) for at, who, what, facts in self.said if what == event and (
-            not name or facts.get("name") == name)]
+        return [
+            (at, who)
+            for at, who, what, facts in self.said
+            if what == event and (not name or facts.get("name") == name)
+        ]
 
     def status(self, who: str, of: str) -> Status | None:
         member = self.of(who).members.get(of)
--- a/tests/http_peers.py
+++ b/tests/http_peers.py
@@ -47,8 +47,10 @@
 
 
 def notices(rev: int, *members: tuple[str, str], complete: bool = False) -> dict[str, Any]:
-    listed = [{"id": name, "host_port": "127.0.0.1:9", "locality": "z", "cell": 1, "phase": phase}
-              for name, phase in members]
+    listed = [
+        {"id": name, "host_port": "127.0.0.1:9", "locality": "z", "cell": 1, "phase": phase}
+        for name, phase in members
+    ]
     return {"rev": rev, "notices": [{"rev": rev, "pool": {"complete": complete, "members": listed}}]}
 
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -54,8 +54,14 @@
         return False
     scope: list[ast.stmt] = ast.parse(path.read_text()).body
     for name in names:
-        inner = next((one for one in scope if isinstance(one, ast.ClassDef | ast.FunctionDef | ast.AsyncFunctionDef)
-                      and one.name == name), None)
+        inner = next(
+            (
+                one
+                for one in scope
+                if isinstance(one, ast.ClassDef | ast.FunctionDef | ast.AsyncFunctionDef) and one.name == name
+            ),
+            None,
+        )
         if inner is None:
             return False
         scope = inner.body
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -151,6 +151,7 @@
 def refuse(status: int, *extra: tuple[str, str]) -> Script:
     async def script(peer: Peer, invite: Message) -> None:
         peer.send(reply(invite, status, *extra))
+
     return script
 
 
@@ -159,19 +160,33 @@
 
 
 def bye(ident: str, cause: int) -> Message:
-    return Message("BYE", "sip:x@net", headers=[
-        ("Call-ID", ident), ("CSeq", "2 BYE"), ("Reason", f"Q.850;cause={cause}")])
+    return Message(
+        "BYE", "sip:x@net", headers=[("Call-ID", ident), ("CSeq", "2 BYE"), ("Reason", f"Q.850;cause={cause}")]
+    )
 
 
 def invite(ident: str = "00000000000000a1", dest: int = 0, timer: int = 3000, kind: str = "a") -> Message:
-    return Message("INVITE", "sip:1234@net", headers=[
-        ("Via", "SIP/2.0/TCP peer"), ("Call-ID", ident), ("CSeq", "1 INVITE"), ("X-Cos", kind),
-        ("X-Timer-Ms", str(timer)), ("X-Legs", f"dest:{dest};width:1;via:-1")], body=b"offer")
+    return Message(
+        "INVITE",
+        "sip:1234@net",
+        headers=[
+            ("Via", "SIP/2.0/TCP peer"),
+            ("Call-ID", ident),
+            ("CSeq", "1 INVITE"),
+            ("X-Cos", kind),
+            ("X-Timer-Ms", str(timer)),
+            ("X-Legs", f"dest:{dest};width:1;via:-1"),
+        ],
+        body=b"offer",
+    )
 
 
 def plain(method: str, ident: str = "00000000000000a1", *extra: tuple[str, str]) -> Message:
-    return Message(method, "sip:1234@net", headers=[
-        ("Via", "SIP/2.0/TCP peer"), ("Call-ID", ident), ("CSeq", f"1 {method}"), *extra])
+    return Message(
+        method,
+        "sip:1234@net",
+        headers=[("Via", "SIP/2.0/TCP peer"), ("Call-ID", ident), ("CSeq", f"1 {method}"), *extra],
+    )
 
 
 def config(**change: Any) -> Config:
@@ -212,7 +227,7 @@
         daemon.agent.list_changed(api.Scope.CACHED, [self.desk(k, await d.start()) for k, d in enumerate(desks)])
         for place, one in enumerate(desks):
             await self.eventually(lambda one=one: one.peers)
-            await self.eventually(lambda place=place: daemon.agent.module.cores[place].told > 0)
+            await self.eventually(lambda place=place: daemon.agent.module.node.fleet.servers[place].told > 0)
             self.warm(daemon, place)
         return daemon
 
@@ -228,7 +243,7 @@
     @staticmethod
     def warm(daemon: Daemon, place: int) -> None:
         """Give a desk its full budget, which begins at random: the stories are not about rule 4."""
-        core = daemon.agent.module.cores[place]
+        core = daemon.agent.module.node.fleet.servers[place]
         core.cold_from, core.tokens = float("-inf"), 2.0
 
     async def caller(self) -> Peer:
--- a/tests/lying.py
+++ b/tests/lying.py
@@ -18,7 +18,7 @@
 
     def write(self, path: Path, data: bytes) -> None:
         self._may("write")
-        super().write(path, data if self.torn is None else data[:self.torn])
+        super().write(path, data if self.torn is None else data[: self.torn])
         self._may("fsync")
 
     def replace(self, new: Path, path: Path) -> None:
--- a/tests/mechanism.py
+++ b/tests/mechanism.py
@@ -3,21 +3,22 @@
 import math
 
 from seamlb import api
-from seamlb.control import Controller, Core
+from seamlb.observations import Server
+from seamlb.policy.controller import Controller
 from tests.support import RAW, listed, settings
 
 
-def started(allowance: float = 4.0) -> tuple[Controller, Core]:
+def started(allowance: float = 4.0) -> tuple[Controller, Server]:
     tenants = [{"AllowancePerS": allowance}]
     controller = Controller(settings(Tenants=tenants, OverShareWorth=0.1, Instances=1), 1)
     listed(controller, 0.0, 1)
-    return controller, controller.cores[1]
+    return controller, controller.node.fleet.servers[1]
 
 
 def takes(controller: Controller, rate: float, now: float = 0.0) -> None:
     """Let the node have seen `rate` answers a millisecond, for ever."""
-    controller.began = -math.inf
-    controller.taken.put(now, rate / controller.lines)
+    controller.node.began = -math.inf
+    controller.node.answers.put(now, rate / controller.node.fleet.lines)
 
 
 def wait(controller: Controller, start: float, end: float) -> None:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -30,8 +30,14 @@
         self, *arguments: str, program: str = sys.executable, fds: tuple[int, ...] = (), **environment: str
     ) -> asyncio.subprocess.Process:
         process = await asyncio.create_subprocess_exec(
-            program, *arguments, cwd=ROOT, env=os.environ | environment, pass_fds=fds,
-            stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+            program,
+            *arguments,
+            cwd=ROOT,
+            env=os.environ | environment,
+            pass_fds=fds,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
 
         async def stop() -> None:
             if process.returncode is None:
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -33,18 +33,32 @@
 
 def state(world: World) -> tuple[object, ...]:
     """What tells two states apart: what each knows, votes, acts on and has lent, in tenths of a lease."""
+
     def left(until: float, now: float) -> int:
         return max(0, round((until - now) / LEASE * 10))
 
     found: list[object] = []
     for node in world.nodes.values():
         now = world.now * node.rate
-        found.append((node.holder.newest.digest, node.holder.stance(now), left(node.holder.until, now),
-                      left(node.stalled_until, world.now)))
+        found.append(
+            (
+                node.holder.newest.digest,
+                node.holder.stance(now),
+                left(node.holder.until, now),
+                left(node.stalled_until, world.now),
+            )
+        )
         if one := node.member:
-            found.append((one.kept.promised, one.kept.voted, one.newest.digest, one.cleared.get(one.name),
-                          left(one.quiet_until, now), sorted(
-                              (who, number, left(until, now)) for who, (number, until) in one.grants.items())))
+            found.append(
+                (
+                    one.kept.promised,
+                    one.kept.voted,
+                    one.newest.digest,
+                    one.cleared.get(one.name),
+                    left(one.quiet_until, now),
+                    sorted((who, number, left(until, now)) for who, (number, until) in one.grants.items()),
+                )
+            )
     return tuple(map(repr, found))
 
 
--- a/tests/sip_peers.py
+++ b/tests/sip_peers.py
@@ -43,12 +43,21 @@
         seq = change.get("seq", self.seq)
         branch = change.get("branch", f"z9hG4bK{self.call}-{seq}{'a' if method == 'ACK' else ''}")
         uri = f"sip:{number}@net" if method in ("INVITE", "CANCEL", "OPTIONS") else self.target
-        return Message(method, uri, headers=[
-            ("Via", f"SIP/2.0/{self.transport} {self.address};branch={branch};rport"),
-            ("Max-Forwards", "70"), ("From", f"<sip:me@net>;tag={self.tag}"), ("To", self.to),
-            ("Call-ID", self.call), ("CSeq", f"{seq} {method}"),
-            ("Contact", f"<sip:me@{self.address};transport={self.transport.lower()}>"), *extra,
-        ], body=b"offer" if method == "INVITE" else b"")
+        return Message(
+            method,
+            uri,
+            headers=[
+                ("Via", f"SIP/2.0/{self.transport} {self.address};branch={branch};rport"),
+                ("Max-Forwards", "70"),
+                ("From", f"<sip:me@net>;tag={self.tag}"),
+                ("To", self.to),
+                ("Call-ID", self.call),
+                ("CSeq", f"{seq} {method}"),
+                ("Contact", f"<sip:me@{self.address};transport={self.transport.lower()}>"),
+                *extra,
+            ],
+            body=b"offer" if method == "INVITE" else b"",
+        )
 
     async def invite(self, number: str = "ok", *extra: tuple[str, str]) -> Message:
         """Set a call up; its final answer, acknowledged."""
@@ -135,10 +144,21 @@
     def bye(self, ident: str) -> None:
         held = self.hold[ident]
         contact = held.get("contact").partition("<")[2].partition(">")[0]
-        self.peer.send(Message("BYE", contact, headers=[
-            ("Via", f"SIP/2.0/{self.transport.upper()} {self.address};branch=z9hG4bKbye{ident}"),
-            ("Max-Forwards", "70"), ("From", held.get("to") + ";tag=desk"), ("To", held.get("from")),
-            ("Call-ID", ident), ("CSeq", "1 BYE"), ("Reason", "Q.850;cause=16")]))
+        self.peer.send(
+            Message(
+                "BYE",
+                contact,
+                headers=[
+                    ("Via", f"SIP/2.0/{self.transport.upper()} {self.address};branch=z9hG4bKbye{ident}"),
+                    ("Max-Forwards", "70"),
+                    ("From", held.get("to") + ";tag=desk"),
+                    ("To", held.get("from")),
+                    ("Call-ID", ident),
+                    ("CSeq", "1 BYE"),
+                    ("Reason", "Q.850;cause=16"),
+                ],
+            )
+        )
 
     def methods(self) -> list[str]:
         return [one.method for one in self.seen if one.method]
--- a/tests/support.py
+++ b/tests/support.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from seamlb import api
-from seamlb.control import Controller
+from seamlb.policy.controller import Controller
 
 RAW: dict[str, Any] = {
     "Az": 0,
@@ -12,13 +12,22 @@
         {"Deadline": 9000.0, "Effect": "free", "Group": "all", "Name": "b", "OnTime": 1000.0, "Worth": 3.0},
     ],
     "Contract": {
-        "AnswerSlack": 20.0, "AskWithin": 10000.0, "Cold": 10000.0, "DrainGrace": 250.0, "Fall": 2000.0,
-        "FallMultiple": 3.0, "StartCapacity": 0.3,
+        "AnswerSlack": 20.0,
+        "AskWithin": 10000.0,
+        "Cold": 10000.0,
+        "DrainGrace": 250.0,
+        "Fall": 2000.0,
+        "FallMultiple": 3.0,
+        "StartCapacity": 0.3,
     },
     "Extra": {"ClearWait": 300.0, "NetworkForm": "skills", "Repeat": 500.0, "SelfNo": -1},
     "Instances": 4,
     "Limits": {
-        "AttemptsCap": 4, "Cancel": True, "MaxRetryAfter": 2000.0, "Peers": False, "Probing": False,
+        "AttemptsCap": 4,
+        "Cancel": True,
+        "MaxRetryAfter": 2000.0,
+        "Peers": False,
+        "Probing": False,
         "RetryAfter": True,
     },
     "Me": 0,
--- a/tests/test_acting.py
+++ b/tests/test_acting.py
@@ -36,13 +36,27 @@
 
 def acting(now: list[float], tenants: int = 2, agents: int = 4) -> Acting:
     names = tuple(sorted(f"a{n}" for n in range(agents)))
-    shares = {f"tenant.t{n}": Field(
-        "share", {"whole": 8.0, "parts": dict.fromkeys(names, 8.0 / agents)},
-        {"whole": 8.0, "parts": dict.fromkeys(names, 1.0 / agents)}) for n in range(tenants)}
-    first = Charter(1, "", names[:1], names, shares | {
-        "open": Field("limit", PLAIN["open"], 5), "desks": Field("held", PLAIN["desks"], ["d1", "d2"]),
-        "zones": Field("left", PLAIN["zones"], {"zones": ["east", "west"], "left": []}),
-        "note": Field("free", "x", "")})
+    shares = {
+        f"tenant.t{n}": Field(
+            "share",
+            {"whole": 8.0, "parts": dict.fromkeys(names, 8.0 / agents)},
+            {"whole": 8.0, "parts": dict.fromkeys(names, 1.0 / agents)},
+        )
+        for n in range(tenants)
+    }
+    first = Charter(
+        1,
+        "",
+        names[:1],
+        names,
+        shares
+        | {
+            "open": Field("limit", PLAIN["open"], 5),
+            "desks": Field("held", PLAIN["desks"], ["d1", "d2"]),
+            "zones": Field("left", PLAIN["zones"], {"zones": ["east", "west"], "left": []}),
+            "note": Field("free", "x", ""),
+        },
+    )
     holder = Holder("a1", 2.0, first, first, 0.0, 0)
     return Acting(holder, ("east", "west"), lambda: now[0])
 
@@ -55,8 +69,11 @@
 def test_an_agent_takes_its_part_and_alone_what_every_charter_leaves_it(tenants: int, agents: int) -> None:
     now = [1.0]
     found = acting(now, tenants, max(agents, 2))
-    base = settings(Instances=max(agents, 2), Tenants=[
-        {"Name": f"t{n}", "AllowancePerS": 3.0} for n in range(tenants)] + [{"Name": "other", "AllowancePerS": 7.0}])
+    base = settings(
+        Instances=max(agents, 2),
+        Tenants=[{"Name": f"t{n}", "AllowancePerS": 3.0} for n in range(tenants)]
+        + [{"Name": "other", "AllowancePerS": 7.0}],
+    )
     assert found.look() and not found.look()  # alone
     assert found.open == 5
     assert found.settings(base).allowances == pytest.approx((1.0,) * tenants + (7.0,))
@@ -82,7 +99,12 @@
 
     ready, drains = Availability.READY, Availability.DRAINING
     assert states(found.listed(0.0, 0.0, desks, True)) == {
-        "d1": drains, "d2": ready, "d3": ready, "d4": drains, "d5": drains}
+        "d1": drains,
+        "d2": ready,
+        "d3": ready,
+        "d4": drains,
+        "d5": drains,
+    }
     assert found.changed(0.0, 0.0) == []
     now[0] = 10.0
     found.look()
@@ -135,8 +157,10 @@
         one = bytearray(sender.encode("a1", notes[0]))
         one[at] ^= 1
         assert list(Reader(reader).feed(bytes(one))) == []
-    for other, reason in ((Codec("a0", FOUNDING, {9: b"m" * 32}, 9), "wrong signature"),
-                          (Codec("a0", "cd" * 16, KEYS, 1), "another founding charter")):
+    for other, reason in (
+        (Codec("a0", FOUNDING, {9: b"m" * 32}, 9), "wrong signature"),
+        (Codec("a0", "cd" * 16, KEYS, 1), "another founding charter"),
+    ):
         reader.dropped.clear()
         assert list(Reader(reader).feed(other.encode("a1", notes[0]))) == [] and reader.dropped[reason] == 1
     assert list(Reader(reader).feed(sender.encode("a2", notes[0]))) == [] and reader.dropped["not for us"] == 1
@@ -209,8 +233,13 @@
 
 class Files(unittest.TestCase):
     def test_what_is_wrong_is_one_line_and_exit_2(self) -> None:
-        good = {"listen": "127.0.0.1:7100", "founding": "f.toml", "state": "s", "keys": "k",
-                "council": ["a0=127.0.0.1:7100", "a1=127.0.0.1:7101", "a2=127.0.0.1:7102"]}
+        good = {
+            "listen": "127.0.0.1:7100",
+            "founding": "f.toml",
+            "state": "s",
+            "keys": "k",
+            "council": ["a0=127.0.0.1:7100", "a1=127.0.0.1:7101", "a2=127.0.0.1:7102"],
+        }
         founding = 'council = ["a0", "a1", "a2"]\nagents = ["a0", "a1", "a2", "a3"]\n'
         rule = '[rules.open]\nkind = "limit"\nvalue = 10\nalone = 2\n'
         with tempfile.TemporaryDirectory() as name:
@@ -220,21 +249,23 @@
             (folder / "k").chmod(0o600)
             (folder / "c.json").write_text(json.dumps({"settings": RAW, "listen": "127.0.0.1:0", "name": "a1"}))
             for change, text, says in (
-                    ({}, founding + rule, ""),
-                    ({"within": 0.5}, founding, "agree.within: not 1 to 60 seconds"),
-                    ({"state": "none"}, founding, "agree.state: no folder"),
-                    ({"listen": ""}, founding, "agree.listen: missing"),
-                    ({"listen": "here"}, founding, "agree.listen: not host:port"),
-                    ({"council": good["council"][:2]}, founding, "agree.council: no address of 'a2'"),
-                    ({"lease": 1}, founding, "agree.lease: unknown key"),
-                    ({}, founding.replace('["a0", "a1", "a2"]', '["a0", "a1"]'), "2 members, not 1, 3, 5 or 7"),
-                    ({}, founding + rule.replace("alone = 2", "alone = 20"), "open: below 20"),
-                    ({}, founding + rule.replace("limit", "free"), "open: of kind 'free', not 'limit'"),
-                    ({}, founding + rule.replace("value = 10\n", ""), "rules.open: not kind, value and alone"),
-                    ({}, "people = 3\n" + founding, "unknown key 'people'"),
-                    ({"founding": "none.toml"}, founding, "No such file")):
+                ({}, founding + rule, ""),
+                ({"within": 0.5}, founding, "agree.within: not 1 to 60 seconds"),
+                ({"state": "none"}, founding, "agree.state: no folder"),
+                ({"listen": ""}, founding, "agree.listen: missing"),
+                ({"listen": "here"}, founding, "agree.listen: not host:port"),
+                ({"council": good["council"][:2]}, founding, "agree.council: no address of 'a2'"),
+                ({"lease": 1}, founding, "agree.lease: unknown key"),
+                ({}, founding.replace('["a0", "a1", "a2"]', '["a0", "a1"]'), "2 members, not 1, 3, 5 or 7"),
+                ({}, founding + rule.replace("alone = 2", "alone = 20"), "open: below 20"),
+                ({}, founding + rule.replace("limit", "free"), "open: of kind 'free', not 'limit'"),
+                ({}, founding + rule.replace("value = 10\n", ""), "rules.open: not kind, value and alone"),
+                ({}, "people = 3\n" + founding, "unknown key 'people'"),
+                ({"founding": "none.toml"}, founding, "No such file"),
+            ):
                 with self.subTest(says=says):
                     (folder / "f.toml").write_text(text)
                     (folder / "p.toml").write_text(
-                        "[agree]\n" + "".join(f"{key} = {json.dumps(one)}\n" for key, one in (good | change).items()))
+                        "[agree]\n" + "".join(f"{key} = {json.dumps(one)}\n" for key, one in (good | change).items())
+                    )
                     check_files(self, folder, says)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -43,8 +43,7 @@
 
 def test_the_documented_demand_record_decodes() -> None:
     record = bytes.fromhex(
-        "03000300c4913a5dcfe401000000000000002840640ad2557c3bf0910000010000008043"
-        "0000000000006e400000964400006442"
+        "03000300c4913a5dcfe401000000000000002840640ad2557c3bf09100000100000080430000000000006e400000964400006442"
     )
     assert len(record) == len(DEMAND)
     host = Host()
@@ -118,9 +117,17 @@
 
 def test_every_action_has_its_record() -> None:
     expected = {
-        api.CallOut(1, 2, 3.0): 65, api.Deny(1, 2.0): 66, api.ReportFailure(1): 67, api.Withdraw(1, 0): 68,
-        api.WakeAt(1, 2.0): 69, api.Poll(2): 70, api.FreeLinks(2): 71, api.Signal(None, b"hi"): 72,
-        api.Log("x"): 73, api.Follow(True): 75, api.Pull(): 76,
+        api.CallOut(1, 2, 3.0): 65,
+        api.Deny(1, 2.0): 66,
+        api.ReportFailure(1): 67,
+        api.Withdraw(1, 0): 68,
+        api.WakeAt(1, 2.0): 69,
+        api.Poll(2): 70,
+        api.FreeLinks(2): 71,
+        api.Signal(None, b"hi"): 72,
+        api.Log("x"): 73,
+        api.Follow(True): 75,
+        api.Pull(): 76,
     }
     for action, code in expected.items():
         assert struct.unpack_from("<HH", encode(5, action)) == (code, 5)
--- a/tests/test_agree_bugs.py
+++ b/tests/test_agree_bugs.py
@@ -61,8 +61,7 @@
         yield world
 
 
-@pytest.mark.parametrize("bug", [
-    lends_on_what_is_old, counts_the_lease_from_the_answer, acts_on_after_its_lease])
+@pytest.mark.parametrize("bug", [lends_on_what_is_old, counts_the_lease_from_the_answer, acts_on_after_its_lease])
 def test_a_seeded_bug_is_caught(bug: Bug) -> None:
     with bug():
         assert any(world.broken for world in runs(60))
--- a/tests/test_agree_daemon.py
+++ b/tests/test_agree_daemon.py
@@ -17,7 +17,8 @@
         self.addAsyncCleanup(self.site.stop)
 
     async def test_a_proposal_is_acted_on_by_all_and_nobody_contradicts_whoever_is_killed_stalled_or_cut_off(
-            self) -> None:
+        self,
+    ) -> None:
         site = self.site
         await site.start()
         await site.all_act(1)
@@ -44,7 +45,8 @@
         self.assertEqual(site.audit(), 0.0)
 
     async def test_without_a_council_calls_are_served_under_what_who_is_alone_may_and_a_council_that_is_back_goes_on(
-            self) -> None:
+        self,
+    ) -> None:
         site = self.site
         await site.start()
         await site.all_act(1)
--- a/tests/test_agree_schedules.py
+++ b/tests/test_agree_schedules.py
@@ -22,8 +22,9 @@
     assert len(seen) > 300
 
 
-@pytest.mark.parametrize("bug", [
-    in_force_by_its_own_word, lends_on_what_is_old, acts_on_after_its_lease, a_restart_is_not_quiet])
+@pytest.mark.parametrize(
+    "bug", [in_force_by_its_own_word, lends_on_what_is_old, acts_on_after_its_lease, a_restart_is_not_quiet]
+)
 def test_a_seeded_bug_is_found_by_some_schedule(bug: Any) -> None:
     with bug():
         assert any(play(schedule, set()).broken for schedule in schedules(DEPTH))
--- a/tests/test_board_restarts.py
+++ b/tests/test_board_restarts.py
@@ -33,8 +33,11 @@
             return given[len(stand.paths) - 1]
 
         stand = Stand(handler)
-        board = Board(await stand.start(), ["z"], lambda scope, desks: told.append(
-            {one.ident: one.availability for one in desks}))
+        board = Board(
+            await stand.start(),
+            ["z"],
+            lambda scope, desks: told.append({one.ident: one.availability for one in desks}),
+        )
         await self.follow(board, stand)
         await self.eventually(lambda: len(stand.paths) == len(given) + 1)
         return stand, told
@@ -44,22 +47,29 @@
 
     async def test_a_board_whose_numbers_went_back_is_asked_for_everything(self) -> None:
         stand, told = await self.play(
-            listed(9, 9, ("a", "Ready"), complete=True), {"rev": 2, "notices": []},
-            listed(2, 10, ("a", "Terminating"), complete=True))
+            listed(9, 9, ("a", "Ready"), complete=True),
+            {"rev": 2, "notices": []},
+            listed(2, 10, ("a", "Terminating"), complete=True),
+        )
         self.assertEqual(self.asked(stand), ["0", "9", "0", "2"])
         self.assertEqual(told, [{"a": READY}, {"a": DRAINING}])
 
     async def test_an_older_list_brings_no_server_back_and_what_is_newer_in_it_is_taken(self) -> None:
         _, told = await self.play(
-            listed(9, 9, ("a", "Terminating"), complete=True), {"rev": 2, "notices": []},
-            listed(2, 4, ("a", "Ready"), ("old", "Ready"), complete=True), listed(3, 10, ("a", "Gone")))
+            listed(9, 9, ("a", "Terminating"), complete=True),
+            {"rev": 2, "notices": []},
+            listed(2, 4, ("a", "Ready"), ("old", "Ready"), complete=True),
+            listed(3, 10, ("a", "Gone")),
+        )
         self.assertEqual(told, [{"a": DRAINING}, {"a": GONE}])
 
     async def test_a_list_that_stays_older_has_begun_to_count_anew_and_is_taken_in_the_end(self) -> None:
         with mock.patch.object(module, "LATE", 0.0):
             stand, told = await self.play(
-                listed(9, 9, ("a", "Ready"), complete=True), {"rev": 2, "notices": []},
-                listed(2, 1, ("a", "Terminating"), complete=True))
+                listed(9, 9, ("a", "Ready"), complete=True),
+                {"rev": 2, "notices": []},
+                listed(2, 1, ("a", "Terminating"), complete=True),
+            )
         self.assertEqual(told, [{"a": READY}, {"a": DRAINING}])
         self.assertEqual(self.asked(stand)[:3], ["0", "9", "0"])
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,7 +5,8 @@
 import pytest
 
 from seamlb import api
-from seamlb.control import BUSY_MS, LINES_BUSY, TURNED, Controller
+from seamlb.policy.callers import BUSY_MS, REMEMBERED
+from seamlb.policy.controller import LINES_BUSY, Controller
 from tests.mechanism import late_worth, wait
 from tests.support import demand, ended, listed, sent_to, settings
 
@@ -28,25 +29,26 @@
     for call, now, over, late in ((1, 0.0, 0, 0), (2, 1500.0, 0, 0), (3, 2500.0, 0, 1)):  # aim 2000
         controller.handle(now, api.Sampled(1, 0, 0.0, (0.0, 100.0, -1.0)))
         redial = api.Demand(call, 0, 0, 3000.0, 1, key=77)
-        rank = controller.ranks[0, over, late]
+        rank = controller.node.ranking.ranks[0, over, late]
         with mock.patch.object(controller, "_place", wraps=controller._place) as place:
             actions = controller.handle(now, redial)
         assert place.call_args.args[1].rank == rank
         assert [type(one) for one in actions if not isinstance(one, api.WakeAt)] == [api.Deny]
     controller.handle(2600.0, api.Sampled(1, 0, 0.0, (100.0, 100.0, -1.0)))
     controller.handle(2600.0, api.Demand(4, 0, 0, 3000.0, 1, key=78))
-    assert controller.calls[4].rank == controller.ranks[0, 1, 0]  # another caller: the share was used by the first
+    # Another caller: the share was used by the first.
+    assert controller.calls[4].rank == controller.node.ranking.ranks[0, 1, 0]
     controller.handle(15_000.0, api.Demand(5, 0, 0, 3000.0, 1, key=77))
     assert controller.calls[5].since == 15_000.0  # too long ago to be a redial
 
 
 def test_callers_turned_away_are_forgotten_in_time_and_in_number() -> None:
     controller = Controller(settings(Instances=1), 5)
-    for call in range(2 * TURNED):
+    for call in range(2 * REMEMBERED):
         controller.handle(1.0, api.Demand(call, 0, 0, 3000.0, 1, key=call + 1))  # no server: refused
-    assert len(controller.turned) == TURNED
+    assert len(controller.callers.turned) == REMEMBERED
     controller.handle(20_000.0, api.Demand(call + 1, 0, 0, 3000.0, 1, key=call + 2))
-    assert len(controller.turned) == 1
+    assert len(controller.callers.turned) == 1
 
 
 def test_a_number_whose_lines_are_all_busy_is_left_alone_for_a_while() -> None:
@@ -74,10 +76,10 @@
             if call in controller.calls:
                 ranks[tenant].add(controller.calls[call].rank)
             controller.handle(now + 20.0, api.HungUp(call))
-    assert ranks[0] == {controller.ranks[0, 0, 0], controller.ranks[0, 1, 0]}
-    assert ranks[1] == {controller.ranks[0, 0, 0]}  # the other tenant stays within its share
+    assert ranks[0] == {controller.node.ranking.ranks[0, 0, 0], controller.node.ranking.ranks[0, 1, 0]}
+    assert ranks[1] == {controller.node.ranking.ranks[0, 0, 0]}  # the other tenant stays within its share
     assert not controller.calls
-    assert not controller.cores[1].pending
+    assert not controller.node.fleet.servers[1].pending
 
 
 def test_a_caller_with_little_time_left_gets_its_answer_when_that_is_over() -> None:
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from seamlb import control
-from seamlb.control import CHANCE, cold_budget
+from seamlb.policy import routing
+from seamlb.policy.cold_start import CHANCE, cold_budget
 from tests.cold_fleet import Case, ColdFleet
 
 FALLS = 2.0  # roots of N, above N + 2
@@ -43,9 +43,12 @@
 @pytest.mark.parametrize("nodes", [5, 20, 30, 200])
 def test_a_budget_that_is_too_large_is_caught(nodes: int) -> None:
     # All of N and a third more, with three calls saved up: what the test above must not let through.
-    with mock.patch.object(control, "cold_budget", lambda allowed, nodes: (4.0 / 3.0, 3.0)):
-        plays = [ColdFleet(case, seed).play().overrun()
-                 for case in cases(nodes, 30.0, DEMANDS["nearly all of the fleet's"]) for seed in range(2)]
+    with mock.patch.object(routing, "cold_budget", lambda allowed, nodes: (4.0 / 3.0, 3.0)):
+        plays = [
+            ColdFleet(case, seed).play().overrun()
+            for case in cases(nodes, 30.0, DEMANDS["nearly all of the fleet's"])
+            for seed in range(2)
+        ]
     assert max(plays) > FALLS
 
 
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -35,8 +35,10 @@
         self.refuses("listen: missing", {"settings": RAW})
         self.refuses("listen: not host:port: 'here'", good | {"listen": "here"})
         self.refuses("management: not host:port: 'there'", good | {"management": "there"})
-        self.refuses("Contract.Fall: missing", good | {"settings": RAW | {"Contract": {
-            k: v for k, v in RAW["Contract"].items() if k != "Fall"}}})
+        self.refuses(
+            "Contract.Fall: missing",
+            good | {"settings": RAW | {"Contract": {k: v for k, v in RAW["Contract"].items() if k != "Fall"}}},
+        )
         self.refuses("not a list of notices", good | {"known": {"rev": 1, "notices": [{}]}})
         self.refuses("unknown table web", good, "[web]\n")
         self.refuses("sip.port: unknown key", good, "[sip]\nport = 1\n")
@@ -70,7 +72,8 @@
         seen = Path(self.enterContext(tempfile.TemporaryDirectory())) / "seen"
         status = await self.run_with(
             "def classify(call):\n    assert call['transport'] == 'UDP' and call['headers']['max-forwards']\n"
-            f"    return {{'class': 'b'}}\ndef observe(r):\n    open({str(seen)!r}, 'w').write(str(r))\n")
+            f"    return {{'class': 'b'}}\ndef observe(r):\n    open({str(seen)!r}, 'w').write(str(r))\n"
+        )
         self.assertEqual((status, self.events("call_end")[0]["kind"]), (200, "b"))
         self.assertIn("'result': 'released'", seen.read_text())
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -119,7 +119,7 @@
         daemon = await self.start(desk)
         daemon.agent.list_changed(api.Scope.DELTA, [self.desk(1, desk.address)])
         await self.eventually(lambda: len(desk.peers) == 2)
-        await self.eventually(lambda: daemon.agent.module.cores[1].told > 0)
+        await self.eventually(lambda: daemon.agent.module.node.fleet.servers[1].told > 0)
         self.warm(daemon, 1)
         caller = await self.caller()
         caller.send(invite(dest=1))
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -39,9 +39,17 @@
     async def test_a_crowd_while_discovery_is_down_keeps_neither_it_nor_servers_nor_operators_out(self) -> None:
         path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
         listen, operators, board = [await self.free_address() for _ in range(3)]
-        path.write_text(json.dumps({
-            "settings": RAW, "listen": listen, "management": operators, "board": board,
-            "limits": {"sockets": SOCKETS}}))
+        path.write_text(
+            json.dumps(
+                {
+                    "settings": RAW,
+                    "listen": listen,
+                    "management": operators,
+                    "board": board,
+                    "limits": {"sockets": SOCKETS},
+                }
+            )
+        )
         limited = f"ulimit -n {SOCKETS}; exec {self.python} -m seamlb serve --config {path}"
         agent = await self.process("-c", limited, program="sh")
         await self.line(agent, '"serving"')
--- a/tests/test_desk_silence.py
+++ b/tests/test_desk_silence.py
@@ -12,8 +12,11 @@
 from seamlb.protocol.sip import Message
 from tests.loopback import SDP, Peer, ScriptedDesk, Story, bye, invite, silent
 
-STATE = Message("NOTIFY", "sip:exchange@net", headers=[
-    ("Call-ID", "0"), ("CSeq", "1 NOTIFY"), ("X-Occupancy", "idle:4;circuits:5")])
+STATE = Message(
+    "NOTIFY",
+    "sip:exchange@net",
+    headers=[("Call-ID", "0"), ("CSeq", "1 NOTIFY"), ("X-Occupancy", "idle:4;circuits:5")],
+)
 
 
 class Silence(Story):
--- a/tests/test_detection.py
+++ b/tests/test_detection.py
@@ -6,7 +6,10 @@
 import pytest
 
 from seamlb import api
-from seamlb.control import RECOVER_MS, STREAK, Controller, Core, holds
+from seamlb.observations import RECOVER_MS, Pending, Server
+from seamlb.policy.controller import Controller
+from seamlb.policy.deadlines import meets_deadlines
+from seamlb.policy.node import STREAK
 from tests.mechanism import started, wait
 from tests.support import demand, entry, listed, sent_to, settings
 
@@ -22,10 +25,10 @@
     due = [500.0, 500.0, 500.0]
     # (6) k=1,i=3: 0 + 1.5; k=1,i=2: N(400)-N(300)=0 + 0.01*100=1; k=2,i=3: N(1000)-N(600)=0,
     # ahead 3, later 0.005*400 + 0.01*100 = 3: 6 x < 400 to 66.6; so both turn at x = 66.67.
-    assert holds(due, FLOOR_RATES, 66.6, LIMITS, 1.0)
-    assert not holds(due, FLOOR_RATES, 66.7, LIMITS, 1.0)
-    assert holds(due, FLOOR_RATES, 59.9, LIMITS, 0.9)
-    assert not holds(due, FLOOR_RATES, 60.1, LIMITS, 0.9)
+    assert meets_deadlines(due, FLOOR_RATES, 66.6, LIMITS, 1.0)
+    assert not meets_deadlines(due, FLOOR_RATES, 66.7, LIMITS, 1.0)
+    assert meets_deadlines(due, FLOOR_RATES, 59.9, LIMITS, 0.9)
+    assert not meets_deadlines(due, FLOOR_RATES, 60.1, LIMITS, 0.9)
 
 
 @pytest.mark.parametrize(
@@ -45,51 +48,51 @@
     ],
 )
 def test_each_condition_turns_where_worked_out(due: list[float], turns: float) -> None:
-    assert holds(due, FLOOR_RATES, turns - 0.01, LIMITS, 1.0)
-    assert not holds(due, FLOOR_RATES, turns + 0.01, LIMITS, 1.0)
+    assert meets_deadlines(due, FLOOR_RATES, turns - 0.01, LIMITS, 1.0)
+    assert not meets_deadlines(due, FLOOR_RATES, turns + 0.01, LIMITS, 1.0)
 
 
 def test_set_up_exactly_at_a_limit_is_not_below_it() -> None:
-    assert holds([100.0] * 5, (0.0, 0.0, 0.0), 25.0, LIMITS, 1.0)
-    assert not holds([99.0] * 5, (0.0, 0.0, 0.0), 25.0, LIMITS, 1.0)
+    assert meets_deadlines([100.0] * 5, (0.0, 0.0, 0.0), 25.0, LIMITS, 1.0)
+    assert not meets_deadlines([99.0] * 5, (0.0, 0.0, 0.0), 25.0, LIMITS, 1.0)
 
 
 def test_x_is_the_upper_quartile_and_starts_at_nought() -> None:
-    core = Core(entry(1), 0.0, -math.inf, deque(maxlen=STREAK), 0.0)
-    assert core.x(0.0) == 0.0
+    core = Server(entry(1), 0.0, -math.inf, deque(maxlen=STREAK))
+    assert core.delay(0.0) == 0.0
     core.ratios.extend((0.0, delay) for delay in (10.0, 20.0, 30.0, 40.0))
-    assert core.x(0.0) == 40.0
+    assert core.delay(0.0) == 40.0
     core.ratios.extend((0.0, 10.0) for _ in range(4))
-    assert core.x(0.0) == 30.0
-    assert core.x(RECOVER_MS) == 0.0  # delays that old tell nothing
-    core.pending[7] = (0.0, 100.0, 2)  # sent at 100 as the second then out
-    assert core.x(200.0) == 50.0  # 100 ms without an answer, over two
+    assert core.delay(0.0) == 30.0
+    assert core.delay(RECOVER_MS) == 0.0  # delays that old tell nothing
+    core.pending[7] = Pending(0.0, 100.0, 2)  # sent at 100 as the second then out
+    assert core.delay(200.0) == 50.0  # 100 ms without an answer, over two
 
 
 def test_level_changes_only_after_five_detections_in_a_row() -> None:
     controller, core = started()
     core.ratios.append((0.0, 1.0e6))
-    core.pending[99] = (10.0, 0.0, 1)
+    core.pending[99] = Pending(10.0, 0.0, 1)
     for _ in range(STREAK - 1):
-        controller._detect(0.0, core)
+        controller.gate.detect(0.0, core)
     assert core.level == 0
-    controller._detect(0.0, core)
+    controller.gate.detect(0.0, core)
     assert core.level == 2
     core.pending.clear()
     core.ratios.clear()
     for _ in range(STREAK - 1):
-        controller._detect(0.0, core)
+        controller.gate.detect(0.0, core)
     assert core.level == 2
-    controller._detect(0.0, core)
+    controller.gate.detect(0.0, core)
     assert core.level == 0
 
 
 def test_margin_alone_signals_level_1() -> None:
     controller, core = started()
-    core.ratios.append((0.0, 0.95 * controller.limits[0]))
-    core.pending[99] = (1.0, 0.0, 1)
+    core.ratios.append((0.0, 0.95 * controller.node.ranking.limits[0]))
+    core.pending[99] = Pending(1.0, 0.0, 1)
     for _ in range(STREAK):
-        controller._detect(0.0, core)
+        controller.gate.detect(0.0, core)
     assert core.level == 1
 
 
@@ -101,11 +104,11 @@
             controller.handle(10.0, demand(call))
         if not slept:
             wait(controller, 10.0, 2500.0)
-            controller.cores[1].heard = controller.awake
+            controller.node.fleet.servers[1].heard = controller.node.clock.awake
         for call in range(6, 11):
             controller.handle(2500.0, api.Demand(call, 0, 0, 3000.0, 1))
-            controller.cores[1].heard = controller.awake
-        assert controller.cores[1].level == level
+            controller.node.fleet.servers[1].heard = controller.node.clock.awake
+        assert controller.node.fleet.servers[1].level == level
 
 
 def test_a_set_up_turned_away_or_timed_out_means_level_2_at_once() -> None:
@@ -114,7 +117,7 @@
         listed(controller, 0.0, 1)
         controller.handle(10.0, demand(1))
         controller.handle(20.0, api.Ended(1, 0, 1, status, False, 10.0, note))
-        assert controller.cores[1].level == 2
+        assert controller.node.fleet.servers[1].level == 2
 
 
 def test_no_free_line_is_no_evidence_of_a_pressed_processor() -> None:
@@ -122,27 +125,27 @@
     listed(controller, 0.0, 1)
     controller.handle(10.0, demand(1))
     controller.handle(20.0, api.Ended(1, 0, 1, api.Status.FULL, False, 10.0, 1))
-    assert controller.cores[1].level == 0
+    assert controller.node.fleet.servers[1].level == 0
 
 
 def test_callers_who_left_leave_n() -> None:
     controller = Controller(settings(), 5)
     listed(controller, 0.0, 1)
     controller.handle(10.0, demand(1))
-    assert len(controller.cores[1].pending) == 1
+    assert len(controller.node.fleet.servers[1].pending) == 1
     controller.handle(20.0, api.HungUp(1))
-    assert not controller.cores[1].pending
+    assert not controller.node.fleet.servers[1].pending
 
 
 def test_a_node_among_many_acts_on_its_part_of_the_five_detections() -> None:
     for nodes, needed in ((1, 5), (2, 2), (250, 1)):
         controller = Controller(settings(Instances=nodes), 5)
         listed(controller, 0.0, 1)
-        core = controller.cores[1]
+        core = controller.node.fleet.servers[1]
         core.wait.put(0.0, 1.0e6)
         levels = []
         for _ in range(6):
-            controller._detect(0.0, core)
+            controller.gate.detect(0.0, core)
             levels.append(core.level)
         assert levels == [0] * (needed - 1) + [2] * (7 - needed)
 
@@ -152,11 +155,11 @@
     listed(controller, 0.0, 1)
     report = (9.0, 9.0, 600.0)
     controller.handle(10.0, api.Ended(7, 0, 1, api.Status.OK, True, 10.0, 0, report))
-    controller._detect(10.0, controller.cores[1])
-    assert controller.cores[1].level == 2
+    controller.gate.detect(10.0, controller.node.fleet.servers[1])
+    assert controller.node.fleet.servers[1].level == 2
     wait(controller, 10.0, 9000.0)
     controller.handle(9000.0, demand(1))
-    assert controller.cores[1].level == 0
+    assert controller.node.fleet.servers[1].level == 0
 
 
 @pytest.mark.parametrize("value", [-1.0, math.nan, math.inf])
@@ -165,18 +168,18 @@
     listed(controller, 0.0, 1)
     controller.handle(10.0, api.Ended(7, 0, 1, api.Status.OK, True, 10.0, 0, (9.0, 9.0, value)))
     assert sent_to(controller.handle(20.0, demand(1))) == [1]
-    assert controller.cores[1].level == 0
+    assert controller.node.fleet.servers[1].level == 0
 
 
 def test_own_delays_are_counted_without_this_nodes_stall() -> None:
     controller = Controller(settings(Instances=250), 5)
     listed(controller, 0.0, 1)
     for stall in (300.0, 600.0, 2000.0):
-        start = controller.last + 100.0
+        start = controller.node.clock.last + 100.0
         controller.handle(start, demand(int(start)))
         controller.handle(start + stall, api.Stands(int(start), 0, 1, stall))
-        assert controller.cores[1].wait.get(start + stall) == 0.0
-        assert controller.cores[1].level == 0
+        assert controller.node.fleet.servers[1].wait.get(start + stall) == 0.0
+        assert controller.node.fleet.servers[1].level == 0
 
 
 def test_a_beat_tells_stalls_from_sparse_events() -> None:
@@ -187,4 +190,4 @@
         now = controller.beat
         beats += controller.handle(now, api.Alarm(1 << 63))
     assert all(isinstance(beat, api.WakeAt) for beat in beats)
-    assert controller.awake == now  # no call for seconds, and yet no stall
+    assert controller.node.clock.awake == now  # no call for seconds, and yet no stall
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -31,13 +31,21 @@
             return None
 
         stand = Stand(handler)
-        board = Board(await stand.start(), ["z"], lambda scope, desks: told.append(
-            (scope, {one.ident: one.availability for one in desks})))
+        board = Board(
+            await stand.start(),
+            ["z"],
+            lambda scope, desks: told.append((scope, {one.ident: one.availability for one in desks})),
+        )
         await self.follow(board, stand)
         await self.eventually(lambda: len(stand.paths) == 6)
-        self.assertEqual(told, [
-            (api.Scope.CACHED, {"a": api.Availability.READY}), (api.Scope.DELTA, {"a": api.Availability.DRAINING}),
-            (api.Scope.DELTA, {"a": api.Availability.GONE})])
+        self.assertEqual(
+            told,
+            [
+                (api.Scope.CACHED, {"a": api.Availability.READY}),
+                (api.Scope.DELTA, {"a": api.Availability.DRAINING}),
+                (api.Scope.DELTA, {"a": api.Availability.GONE}),
+            ],
+        )
         self.assertEqual([path.split("watch=")[1][0] for path in stand.paths], ["0", "2", "3", "3", "3", "4"])
         self.assertEqual([one["reason"] for one in self.events("connection_end")], ["peer_closed", "malformed"])
 
@@ -84,8 +92,14 @@
         more = asyncio.Event()
 
         def instance(name: str, port: int) -> dict[str, Any]:
-            return {"Node": "n", "ServiceID": name, "Address": "127.0.0.1", "ServiceAddress": "", "ServicePort": port,
-                    "ServiceMeta": {"cell": "2", "zone": "z"}}
+            return {
+                "Node": "n",
+                "ServiceID": name,
+                "Address": "127.0.0.1",
+                "ServiceAddress": "",
+                "ServicePort": port,
+                "ServiceMeta": {"cell": "2", "zone": "z"},
+            }
 
         def health(name: str, status: str) -> dict[str, Any]:
             return {"Node": {"Node": "n"}, "Service": {"ID": name}, "Checks": [{"Status": status}]}
@@ -113,8 +127,13 @@
 
         stand = Stand(handler)
         config = ConsulConfig(await stand.start(), "duty desk")
-        consul = Consul(config, ["z"], lambda scope, desks: told.append(
-            (scope, {one.ident: one.availability for one in desks})), seed=1, sleep=sleep)
+        consul = Consul(
+            config,
+            ["z"],
+            lambda scope, desks: told.append((scope, {one.ident: one.availability for one in desks})),
+            seed=1,
+            sleep=sleep,
+        )
         await self.follow(consul, stand)
         await self.eventually(lambda: told)
         first = {"n/a": api.Availability.READY, "n/b": api.Availability.DRAINING}
@@ -133,8 +152,10 @@
 
 class Http(Story):
     def test_chunks_interim_answers_and_pieces(self) -> None:
-        data = (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                b"3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\nHTTP/1.1 204 No\r\nConnection: close\r\n\r\n")
+        data = (
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\nHTTP/1.1 204 No\r\nConnection: close\r\n\r\n"
+        )
         reader, told = ResponseReader(), []
         for place in range(len(data)):
             if answer := reader.feed(data[place : place + 1]):
@@ -142,8 +163,12 @@
         self.assertEqual(told, [(200, b"abcde", True), (204, b"", False)])
 
     def test_what_is_no_answer_raises(self) -> None:
-        for bad in (b"SIP/2.0 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
-                    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\n", b"x" * 20000,
-                    b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"):
+        for bad in (
+            b"SIP/2.0 200 OK\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\n",
+            b"x" * 20000,
+            b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+        ):
             with self.assertRaises(HttpError):
                 ResponseReader().feed(bad)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -110,8 +110,11 @@
 def test_by_hand_policies_are_what_they_say() -> None:
     spread, near = uniform(FLOOD), greedy(FLOOD)
     assert spread.placement == {(d.name, k) for d in FLOOD.desks for k in FLOOD.kind if FLOOD.allowed(d, k)}
-    alert = {desk: units for (kind, district, desk), units in spread.flows.routes.items()
-             if (kind, district) == ("alert-confirm", "szeged")}
+    alert = {
+        desk: units
+        for (kind, district, desk), units in spread.flows.routes.items()
+        if (kind, district) == ("alert-confirm", "szeged")
+    }
     assert max(alert.values()) - min(alert.values()) <= 1
     assert not [line for line in check(FLOOD, near) if "grade of service" in line]
     assert near.flows.routes["alert-confirm", "szeged", "szeged-1"] > 0  # the dearest class, at the nearest desk
@@ -130,9 +133,11 @@
 
 def experiment(folder: Path, change: str = "") -> Path:
     path = folder / "x.toml"
-    text = (f'problem = "{ROOT}/examples/plan/small.toml"\nseeds = 2\nseconds = 3.0\npolicies = ["plan", "uniform"]\n'
-            '[[scenario]]\nname = "nominal"\n[[scenario]]\nname = "lost"\n'
-            '[[scenario.trouble]]\nat_s = 1.0\ndesk = "szeged-1"\nwhat = "crash"\n')
+    text = (
+        f'problem = "{ROOT}/examples/plan/small.toml"\nseeds = 2\nseconds = 3.0\npolicies = ["plan", "uniform"]\n'
+        '[[scenario]]\nname = "nominal"\n[[scenario]]\nname = "lost"\n'
+        '[[scenario.trouble]]\nat_s = 1.0\ndesk = "szeged-1"\nwhat = "crash"\n'
+    )
     old, _, new = change.partition("->")
     assert old in text
     path.write_text(text.replace(old, new) if change else text)
@@ -160,18 +165,21 @@
     assert run("compare", f"{file}:plan", tmp_path / "none.csv:plan")[0] == 2
 
 
-@pytest.mark.parametrize(("change", "reason"), [
-    ('"plan", "uniform"->"plan", "best"', "unknown policy 'best'"),
-    ("seeds = 2->seeds = 0", "seeds"),
-    ("seeds = 2->sides = 2", "sides"),
-    ('"crash"->"explode"', "explode"),
-    ('"szeged-1"->"nowhere"', "nowhere"),
-    ("small.toml->none.toml", "No such file"),
-    ("small.toml->infeasible.toml", "has no plan"),
-    ('"uniform"->"plan+rules"', "rules: missing"),
-    ('"uniform"]->"plan+rules"]\nrules = "none.rules"', "none.rules: No such file"),
-    ('seeds = 2->seeds = 2\nrules = "x.toml"', "x.toml:1:1"),
-])
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ('"plan", "uniform"->"plan", "best"', "unknown policy 'best'"),
+        ("seeds = 2->seeds = 0", "seeds"),
+        ("seeds = 2->sides = 2", "sides"),
+        ('"crash"->"explode"', "explode"),
+        ('"szeged-1"->"nowhere"', "nowhere"),
+        ("small.toml->none.toml", "No such file"),
+        ("small.toml->infeasible.toml", "has no plan"),
+        ('"uniform"->"plan+rules"', "rules: missing"),
+        ('"uniform"]->"plan+rules"]\nrules = "none.rules"', "none.rules: No such file"),
+        ('seeds = 2->seeds = 2\nrules = "x.toml"', "x.toml:1:1"),
+    ],
+)
 def test_a_bad_experiment_is_one_line(tmp_path: Path, change: str, reason: str) -> None:
     code, told = run("run", experiment(tmp_path, change), "--out", tmp_path / "out")
     assert code == 2 and reason in told and told.count("\n") == 1
--- a/tests/test_erlang.py
+++ b/tests/test_erlang.py
@@ -26,8 +26,10 @@
 @pytest.mark.parametrize("milli", [1, 10, 999, 1000, 1001, 5000, 60_000, 250_000])
 def test_eight_figures_against_exact_sums(agents: int, milli: int) -> None:
     load = Fraction(milli, 1000)
-    for told, true in ((erlang.loss(agents, milli / 1000), exact_loss(agents, load)),
-                       (erlang.waits(agents, milli / 1000), exact_wait(agents, load))):
+    for told, true in (
+        (erlang.loss(agents, milli / 1000), exact_loss(agents, load)),
+        (erlang.waits(agents, milli / 1000), exact_wait(agents, load)),
+    ):
         assert told == pytest.approx(float(true), rel=1e-8, abs=1e-300)
 
 
@@ -43,9 +45,17 @@
     assert erlang.loss(agents, load) == pytest.approx(1.0 / total, rel=1e-8)
 
 
-@pytest.mark.parametrize(("agents", "target", "load"), [
-    (1, 0.01, 0.0101), (5, 0.01, 1.36), (10, 0.01, 4.46), (20, 0.02, 13.2), (30, 0.01, 20.3), (100, 0.01, 84.1),
-])
+@pytest.mark.parametrize(
+    ("agents", "target", "load"),
+    [
+        (1, 0.01, 0.0101),
+        (5, 0.01, 1.36),
+        (10, 0.01, 4.46),
+        (20, 0.02, 13.2),
+        (30, 0.01, 20.3),
+        (100, 0.01, 84.1),
+    ],
+)
 def test_published_traffic_tables(agents: int, target: float, load: float) -> None:
     """Offered traffic of the usual Erlang B tables, to the three figures that they print."""
     assert erlang.loss(agents, load) == pytest.approx(target, rel=2e-2)  # three figures of load
--- a/tests/test_estimators.py
+++ b/tests/test_estimators.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from seamlb.estimators import DecayingValue, TokenBucket
+from seamlb.estimators import AwakeClock, DecayingValue, TokenBucket, poisson_mean
 
 
 def test_a_value_decays_by_its_time_constant_and_is_replaced() -> None:
@@ -37,3 +37,27 @@
     assert not bucket.take(9.0, 0.1, 2.0)
     assert bucket.take(10.0, 0.1, 2.0)
     assert [bucket.take(1000.0, 0.1, 2.0) for _ in range(3)] == [True, True, False]
+
+
+def test_the_awake_clock_leaves_out_stalls_and_names_the_latest() -> None:
+    clock = AwakeClock(250.0)
+    for now in (100.0, 350.0, 400.0):
+        clock.advance(now)
+    assert (clock.awake, clock.stalled_at) == (400.0, -1.0)
+    clock.advance(1000.0)
+    assert (clock.awake, clock.stalled_at) == (400.0, 1000.0)
+    clock.advance(1010.0)
+    assert (clock.awake, clock.stalled_at) == (410.0, 1000.0)
+
+
+@pytest.mark.parametrize("bound", [2.0, 10.0, 75.0, 900.0])
+@pytest.mark.parametrize("chance", [1e-1, 1e-3, 1e-6])
+def test_a_poisson_count_of_the_mean_exceeds_the_bound_as_seldom_as_asked(bound: float, chance: float) -> None:
+    mean = poisson_mean(bound, chance)
+
+    def exponent(tried: float) -> float:  # Chernoff's, which rises with the mean
+        return bound - tried - bound * math.log(bound / tried)
+
+    assert exponent(mean) <= math.log(chance) + 1e-9 < exponent(mean * 1.0001)
+    below = sum(math.exp(k * math.log(mean) - mean - math.lgamma(k + 1)) for k in range(int(bound) + 1))
+    assert 0.0 < mean < bound and 1.0 - below <= chance
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -16,7 +16,7 @@
 PIPELINED = 400  # requests on one connection whose caller reads nothing
 WRITERS = 40
 RETRIES = 6_000  # callers that are refused, more than are remembered
-GROWTH_KIB = SOCKETS * 2 * 16  # two of the longest messages (16 KiB) for each descriptor, more than an idle process has
+GROWTH_KIB = SOCKETS * 2 * 16  # over an idle process: two of the longest messages (16 KiB) for each descriptor
 
 
 def peak_kib(pid: int) -> int:
@@ -35,8 +35,9 @@
         desk = ScriptedDesk(report="idle:0;circuits:5")
         members = [{"id": "d", "host_port": await desk.start(), "cell": 0, "phase": "Ready", "up_since_ms": 0}]
         known = {"rev": 1, "notices": [{"rev": 1, "pool": {"complete": True, "members": members}}]}
-        path.write_text(json.dumps({
-            "settings": RAW | {"Limits": RAW["Limits"] | {"MaxOpen": MAX_OPEN}}, "listen": self.listen, "known": known, "limits": {"sockets": SOCKETS}}))
+        settings = RAW | {"Limits": RAW["Limits"] | {"MaxOpen": MAX_OPEN}}
+        limits = {"sockets": SOCKETS}
+        path.write_text(json.dumps({"settings": settings, "listen": self.listen, "known": known, "limits": limits}))
         self.agent = await self.process("-m", "seamlb", "serve", "--config", str(path))
         await self.line(self.agent, '"serving"')
         self.idle_kib = peak_kib(self.agent.pid)
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -33,12 +33,24 @@
 def fixed(problem: Problem, plan: Plan, lost: str = "") -> Problem:
     """The problem whose only placement is the plan's; a lost desk can't carry anything."""
     given = problem.given(plan.placement)
-    desks = tuple(replace(
-        d, pinned=frozenset(given.get(d.name, ())), forbidden=d.skills - frozenset(given.get(d.name, ())),
-        most_classes=0, rate_milli=0 if d.name == lost else d.rate_milli) for d in problem.desks)
-    return replace(problem, desks=desks, budget=None, moves=None, kinds=tuple(
-        replace(k, desks=0, districts=0) for k in problem.kinds), offices=tuple(
-        replace(o, floor=0) for o in problem.offices))
+    desks = tuple(
+        replace(
+            d,
+            pinned=frozenset(given.get(d.name, ())),
+            forbidden=d.skills - frozenset(given.get(d.name, ())),
+            most_classes=0,
+            rate_milli=0 if d.name == lost else d.rate_milli,
+        )
+        for d in problem.desks
+    )
+    return replace(
+        problem,
+        desks=desks,
+        budget=None,
+        moves=None,
+        kinds=tuple(replace(k, desks=0, districts=0) for k in problem.kinds),
+        offices=tuple(replace(o, floor=0) for o in problem.offices),
+    )
 
 
 def test_repair_and_solver_agree_on_worth_for_the_same_placement() -> None:
@@ -51,8 +63,10 @@
             continue
         for lost in ("", *sorted({desk for desk, _ in plan.placement})):
             same = fixed(problem, plan, lost)
-            whole = {desk: problem.capacity(desk, kinds) if desk != lost else 0
-                     for desk, kinds in problem.given(plan.placement).items()}
+            whole = {
+                desk: problem.capacity(desk, kinds) if desk != lost else 0
+                for desk, kinds in problem.given(plan.placement).items()
+            }
             mended = Repair(replace(problem, offices=same.offices), plan).mend(whole)
             assert mended.worth == solve(same).objective.worth, (seed, lost)
             shown += 1
@@ -76,10 +90,14 @@
     whole = room(FLOOD, plan, {name: DeskState() for name in NAMES}, COLD)
     assert whole == {d: FLOOD.capacity(d, k) for d, k in FLOOD.given(plan.placement).items()}
     planned = sum(u for (_, _, d), u in plan.flows.routes.items() if d == "gyor-2")
-    for state, expected in ((DeskState(listed=False), 0), (DeskState(draining=True), 0),
-                            (DeskState(cold_ms=0.0), int(whole["gyor-2"] * 0.3)),
-                            (DeskState(cold_ms=7000.0), int(whole["gyor-2"] * 0.65)),
-                            (DeskState(cold_ms=14_000.0), whole["gyor-2"]), (DeskState(full=True), planned)):
+    for state, expected in (
+        (DeskState(listed=False), 0),
+        (DeskState(draining=True), 0),
+        (DeskState(cold_ms=0.0), int(whole["gyor-2"] * 0.3)),
+        (DeskState(cold_ms=7000.0), int(whole["gyor-2"] * 0.65)),
+        (DeskState(cold_ms=14_000.0), whole["gyor-2"]),
+        (DeskState(full=True), planned),
+    ):
         assert room(FLOOD, plan, {"gyor-2": state}, COLD)["gyor-2"] == expected
 
 
--- a/tests/test_just_started.py
+++ b/tests/test_just_started.py
@@ -3,7 +3,7 @@
 import pytest
 
 from seamlb import api
-from seamlb.control import Controller
+from seamlb.policy.controller import Controller
 from tests.support import demand, entry, listed, sent_to, settings
 
 SERVERS = 8
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -72,20 +72,33 @@
     agent = Agent(shared, 1, clock=lambda: 1e12 + loop.time() * 1000.0)
     agent.desks, lost = Desks(rng), list[Any]()
     for number in range(rounds):
-        desks = [Desk(f"d{number}.{cell}", f"10.0.0.1:{cell}", 0, cell, api.Availability.READY, agent.clock())
-                 for cell in range(CELLS)]
+        desks = [
+            Desk(f"d{number}.{cell}", f"10.0.0.1:{cell}", 0, cell, api.Availability.READY, agent.clock())
+            for cell in range(CELLS)
+        ]
         if number % 3 == 0:
             agent.list_changed(api.Scope.FULL, desks)
         else:
-            gone = [Desk(one.ident, one.address, 0, one.cell, api.Availability.GONE, 0.0)
-                    for one in agent.listed.values()]
+            gone = [
+                Desk(one.ident, one.address, 0, one.cell, api.Availability.GONE, 0.0) for one in agent.listed.values()
+            ]
             agent.list_changed(api.Scope.DELTA, [*gone, *desks])
         if number % 4 == 3:
             agent.retune(versions[number // 4 % 2].after(agent.settings))
         for _ in range(CALLS):
             await asyncio.sleep(ROUND / CALLS * rng.random())
-            life = agent.take(Request(f"{rng.getrandbits(64):x}", rng.randrange(2), "ab"[rng.randrange(2)], 0,
-                                      str(rng.getrandbits(32)), 2000.0, rng.randrange(CELLS)), Caller())
+            life = agent.take(
+                Request(
+                    f"{rng.getrandbits(64):x}",
+                    rng.randrange(2),
+                    "ab"[rng.randrange(2)],
+                    0,
+                    str(rng.getrandbits(32)),
+                    2000.0,
+                    rng.randrange(CELLS),
+                ),
+                Caller(),
+            )
             if life and rng.random() < 0.1:
                 loop.call_later(0.5, agent.caller_left, life)
             if leak:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -28,9 +28,16 @@
         parse(text)
 
 
-@pytest.mark.parametrize("test", [
-    "tests/test_none.py::test_a", "tests/test_pages.py::test_none", "tests/test_pages.py", f"{CHECKS}::test_a",
-    "tests/test_net.py::Nobody::test_none"])
+@pytest.mark.parametrize(
+    "test",
+    [
+        "tests/test_none.py::test_a",
+        "tests/test_pages.py::test_none",
+        "tests/test_pages.py",
+        f"{CHECKS}::test_a",
+        "tests/test_net.py::Nobody::test_none",
+    ],
+)
 def test_a_line_that_names_no_test_is_found(test: str) -> None:
     assert missing([KnownRed(test, "a cause", "issue 1")]) == [test]
 
@@ -47,7 +54,12 @@
     outside = {name: value for name, value in os.environ.items() if not name.startswith("PYTEST_")}
     return subprocess.run(
         [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", "--pass-over-known-red", "tests"],
-        cwd=folder, env=outside, capture_output=True, text=True, check=False)
+        cwd=folder,
+        env=outside,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
 
 
 def test_just_the_tests_that_are_listed_are_passed_over_and_printed(tmp_path: Path) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -10,30 +10,67 @@
 ROOT = Path(__file__).resolve().parent.parent / "seamlb"
 WIRES = {"log", "net", "protocol", "sip", "routing"}
 ALLOWED = {
-    "log": set(), "net": {"log"}, "protocol": set(),
-    "api": set(), "estimators": set(), "control": {"api", "estimators"}, "drill": {"api", "control"},
-    "routing": {"api", "control", "log"},
+    "log": set(),
+    "net": {"log"},
+    "protocol": set(),
+    "api": set(),
+    "estimators": set(),
+    "observations": {"api", "estimators"},
+    "policy": {"api", "estimators", "observations"},
+    "drill": {"api", "policy"},
+    "routing": {"api", "log", "policy"},
     "sip": {"log", "net", "protocol"},
-    "lifecycle": set(), "admin": {"net"},
-    "fronts": WIRES | {"api", "lifecycle"}, "desks": WIRES, "discovery": WIRES,
+    "lifecycle": set(),
+    "admin": {"net"},
+    "fronts": WIRES | {"api", "lifecycle"},
+    "desks": WIRES,
+    "discovery": WIRES,
     "planning": {"api", "log", "store"},
     "emulator": {"__version__", "api", "log", "planning", "plugins", "protocol", "routing"},
     "plugins": {"api", "log", "routing"},
     "zones": {"routing"},
-    "store": set(), "agree": {"api", "log", "net", "routing", "store"},
+    "store": set(),
+    "agree": {"api", "log", "net", "routing", "store"},
     "members": {"admin", "log", "net"},
     "rollout": {"__version__", "fronts", "log", "net", "protocol", "store"},
     "hook": {"log"},
     "config": {"api", "net", "protocol"},
     "extras": {"agree", "config", "members", "discovery", "net", "planning", "plugins", "sip"},
-    "subsystems": {"__version__", "agree", "config", "extras", "log", "members", "discovery", "net", "planning",
-                   "plugins", "rollout", "routing", "zones"},
+    "subsystems": {
+        "__version__",
+        "agree",
+        "config",
+        "extras",
+        "log",
+        "members",
+        "discovery",
+        "net",
+        "planning",
+        "plugins",
+        "rollout",
+        "routing",
+        "zones",
+    },
     "optional_parts": {"desks", "extras", "fronts", "hook", "lifecycle", "routing", "sip"},
     "daemon": {"__version__", "config", "desks", "extras", "fronts", "lifecycle", "optional_parts", "subsystems"}
     | WIRES,
-    "cli": {"__version__", "admin", "config", "daemon", "emulator", "extras", "hook", "log", "members", "net",
-            "planning", "plugins", "rollout"},
-    "__main__": {"cli"}, "__init__": set(),
+    "cli": {
+        "__version__",
+        "admin",
+        "config",
+        "daemon",
+        "emulator",
+        "extras",
+        "hook",
+        "log",
+        "members",
+        "net",
+        "planning",
+        "plugins",
+        "rollout",
+    },
+    "__main__": {"cli"},
+    "__init__": set(),
 }
 NETWORK = {"socket", "asyncio", "tornado", "selectors", "ssl"}
 
@@ -60,12 +97,41 @@
     assert own - {layer} <= ALLOWED[layer], f"{layer} may not import {own - {layer} - ALLOWED[layer]}"
 
 
-@pytest.mark.parametrize("name", [
-    "api.py", "control.py", "drill.py", "lifecycle.py", "planning", "protocol", "routing", "store", "zones",
-    *(f"agree/{one}.py" for one in ("acting", "charter", "council", "frames", "holder", "kept", "lists", "merged",
-                                    "notes", "relations", "seat", "table")),
-    *(f"rollout/{one}.py" for one in ("change", "fence", "figures", "judge", "keeping", "plan")),
-    *(f"members/{one}.py" for one in ("shares", "swim", "table", "wire"))])
+@pytest.mark.parametrize(
+    "name",
+    [
+        "api.py",
+        "estimators.py",
+        "observations.py",
+        "policy",
+        "drill.py",
+        "lifecycle.py",
+        "planning",
+        "protocol",
+        "routing",
+        "store",
+        "zones",
+        *(
+            f"agree/{one}.py"
+            for one in (
+                "acting",
+                "charter",
+                "council",
+                "frames",
+                "holder",
+                "kept",
+                "lists",
+                "merged",
+                "notes",
+                "relations",
+                "seat",
+                "table",
+            )
+        ),
+        *(f"rollout/{one}.py" for one in ("change", "fence", "figures", "judge", "keeping", "plan")),
+        *(f"members/{one}.py" for one in ("shares", "swim", "table", "wire")),
+    ],
+)
 def test_no_network_code_where_none_belongs(name: str) -> None:
     paths = [ROOT / name] if name.endswith(".py") else sorted((ROOT / name).glob("*.py"))
     barred = NETWORK - ({"asyncio"} if name == "routing" else set())  # the core owns timers, not sockets
@@ -82,6 +148,19 @@
     pinned = {line.partition("==")[0] for line in (ROOT.parent / "requirements.txt").read_text().split()}
     assert pinned == {"tornado", "orjson", "click"}
     assert {name for name in loaded if not name.startswith("_")} <= pinned | {"seamlb", "site", "sitecustomize"}
-    extras = ("agree", "planning", "plugins", "emulator", "rollout", "store", "zones", "sip.endpoint", "fronts.sip",
-              "desks.sip", "protocol.transaction", "protocol.dialog", "hook")
+    extras = (
+        "agree",
+        "planning",
+        "plugins",
+        "emulator",
+        "rollout",
+        "store",
+        "zones",
+        "sip.endpoint",
+        "fronts.sip",
+        "desks.sip",
+        "protocol.transaction",
+        "protocol.dialog",
+        "hook",
+    )
     assert not [name for name in extras if f"seamlb.{name}" in modules]
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -17,7 +17,8 @@
     rng = random.Random(seed)
     return {
         name: [{desk: rng.choice(list(Listed)) for desk in rng.sample(DESKS, rng.randint(1, 3))} for _ in range(6)]
-        for name in SOURCES}
+        for name in SOURCES
+    }
 
 
 def whole(changes: list[dict[str, Listed]]) -> dict[str, Listed]:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -42,8 +42,13 @@
     made.attempt(2.3, "c", "x")
     made.answered(2.3, "nobody", 200)
     made.attempt(2.3, "nobody", "x")
-    assert rules(made) == ["late answer", "set-up after the answer", "two final answers", "unknown answer",
-                           "unknown set-up"]
+    assert rules(made) == [
+        "late answer",
+        "set-up after the answer",
+        "two final answers",
+        "unknown answer",
+        "unknown set-up",
+    ]
     made = audit()
     made.attempt(0.0, "c", "x")
     made.attempt(0.1, "c", "y")
@@ -85,8 +90,11 @@
 
 def drawn(classes: int, offices: int) -> str:
     rng = random.Random(classes * 100 + offices)
-    rows = [f'[[classes]]\nname = "c{n}"\npart = {rng.uniform(0.1, 1.0)}\nworth = {rng.choice([0.5, 1, 20])}\n'
-            f"on_time_ms = {rng.randint(500, 2000)}\ndeadline_ms = 6000\n" for n in range(classes)]
+    rows = [
+        f'[[classes]]\nname = "c{n}"\npart = {rng.uniform(0.1, 1.0)}\nworth = {rng.choice([0.5, 1, 20])}\n'
+        f"on_time_ms = {rng.randint(500, 2000)}\ndeadline_ms = 6000\n"
+        for n in range(classes)
+    ]
     rows += [f'[[offices]]\nname = "o{n}"\npart = {rng.uniform(0.1, 1.0)}\n' for n in range(offices)]
     return "".join(rows)
 
@@ -104,12 +112,18 @@
 ONE, TWO = drawn(1, 1), drawn(2, 1)
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    (ONE.replace('"c0"', '""'), r"classes\[0\].name: missing"),
-    (ONE.replace("worth", "worht"), r"classes\[0\].worth"),
-    (TWO.replace("c1", "c0"), r"classes\[1\].name"), (ONE + "x = 1\n", r"offices\[0\].x: unknown key"),
-    ("patience_ms = 0\n" + ONE, "patience_ms"), ("", "classes: at least one"),
-    ("people = 1", "unknown key 'people'")])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        (ONE.replace('"c0"', '""'), r"classes\[0\].name: missing"),
+        (ONE.replace("worth", "worht"), r"classes\[0\].worth"),
+        (TWO.replace("c1", "c0"), r"classes\[1\].name"),
+        (ONE + "x = 1\n", r"offices\[0\].x: unknown key"),
+        ("patience_ms = 0\n" + ONE, "patience_ms"),
+        ("", "classes: at least one"),
+        ("people = 1", "unknown key 'people'"),
+    ],
+)
 def test_a_site_that_cannot_be_used_is_named(tmp_path: Path, text: str, says: str) -> None:
     (tmp_path / "site.toml").write_text(text)
     with pytest.raises(ValueError, match=says):
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -29,8 +29,10 @@
             (b"GET /a?b=1 HTTP/1.1\r\nHost: x\r\n\r\n", ("GET", "/a", b"")),
             (b"\r\nGET http://x:1/a/b HTTP/1.1\r\n\r\n", ("GET", "/a/b", b"")),
             (b"POST /a HTTP/1.0\r\nContent-Length: 3\r\n\r\nabc", ("POST", "/a", b"abc")),
-            (b"POST /a HTTP/1.1\r\ntransfer-ENCODING: Chunked\r\n\r\n2;x\r\nab\r\n1\r\nc\r\n0\r\nT: 1\r\n\r\n",
-             ("POST", "/a", b"abc")),
+            (
+                b"POST /a HTTP/1.1\r\ntransfer-ENCODING: Chunked\r\n\r\n2;x\r\nab\r\n1\r\nc\r\n0\r\nT: 1\r\n\r\n",
+                ("POST", "/a", b"abc"),
+            ),
         ):
             found = self.read(data)
             assert found
@@ -42,12 +44,16 @@
 
     def test_what_is_no_request_says_how_it_is_answered(self) -> None:
         for data, status in (
-            (b"hello\r\n\r\n", 400), (b"GET / SIP/2.0\r\n\r\n", 400), (b"G/T / HTTP/1.1\r\n\r\n", 400),
-            (b"GET / HTTP/2.0\r\n\r\n", 505), (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+            (b"hello\r\n\r\n", 400),
+            (b"GET / SIP/2.0\r\n\r\n", 400),
+            (b"G/T / HTTP/1.1\r\n\r\n", 400),
+            (b"GET / HTTP/2.0\r\n\r\n", 505),
+            (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
             (b"GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
             (b"GET / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", 413),
             (b"GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
-            (b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400), (b"x" * 20000, 431),
+            (b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+            (b"x" * 20000, 431),
         ):
             with self.subTest(data=data[:40]), self.assertRaises(HttpError) as raised:
                 RequestReader().feed(data)
@@ -118,8 +124,10 @@
             await busy.until("BYE")  # its connection stayed for this, and goes with it
             with self.assertRaises(EOFError):
                 await busy.next()
-        self.assertEqual([one["reason"] for one in self.events("connection_end") if one["kind"] == "client"],
-                         ["quiesced", "quiesced"])
+        self.assertEqual(
+            [one["reason"] for one in self.events("connection_end") if one["kind"] == "client"],
+            ["quiesced", "quiesced"],
+        )
         self.assertEqual(await self.call("POST", "/admin/resume"), (200, {"phase": "ready"}))
         again = await self.caller()
         again.send(plain("OPTIONS", "t"))
@@ -207,10 +215,20 @@
     async def test_the_figures_are_what_callers_and_desks_saw(self) -> None:
         kept, full = ScriptedDesk(), ScriptedDesk(refuse(503, ("X-Diagnosis", "atb")))
         daemon = await self.serve(kept, full, settings={"Limits": RAW["Limits"] | {"MaxOpen": 2}})
-        self.assertEqual(await self.figures(), {
-            "fulfilled": {"a": 0, "b": 0}, "throttled": {"a": 0, "b": 0}, "faulted": {"a": 0, "b": 0},
-            "relayed": 0, "open_requests": 0, "registry_entries": 2, "out_of_rotation": 0,
-            "cfg_accepted": 0, "cfg_invalid": 0})
+        self.assertEqual(
+            await self.figures(),
+            {
+                "fulfilled": {"a": 0, "b": 0},
+                "throttled": {"a": 0, "b": 0},
+                "faulted": {"a": 0, "b": 0},
+                "relayed": 0,
+                "open_requests": 0,
+                "registry_entries": 2,
+                "out_of_rotation": 0,
+                "cfg_accepted": 0,
+                "cfg_invalid": 0,
+            },
+        )
         caller = await self.caller()
         caller.send(invite(dest=1))  # full there, stands at the other one
         await caller.until(200)
@@ -226,8 +244,10 @@
         daemon.agent.give_up()
         await caller.until(500)
         told = await self.figures()
-        self.assertEqual([told[one] for one in ("fulfilled", "throttled", "faulted", "relayed", "open_requests")],
-                         [{"a": 1, "b": 0}, {"a": 0, "b": 1}, {"a": 0, "b": 1}, 4, 1])
+        self.assertEqual(
+            [told[one] for one in ("fulfilled", "throttled", "faulted", "relayed", "open_requests")],
+            [{"a": 1, "b": 0}, {"a": 0, "b": 1}, {"a": 0, "b": 1}, 4, 1],
+        )
         daemon.agent.list_changed(api.Scope.DELTA, [self.desk(1, full.address, phase=2)])
         told = await self.figures()
         self.assertEqual((told["registry_entries"], told["out_of_rotation"]), (2, 1))
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -17,22 +17,30 @@
 
 
 class Wire(unittest.TestCase):
-    message = Datagram(Kind.ACK, "alpha", 1234567890123, 7, "béta", (
-        Item("gamma", "10.1.2.3:7946", 99, Status.SUSPECT, 3, b"meta"), Item("d", "127.0.0.1:1", 1, Status.LEFT)))
+    message = Datagram(
+        Kind.ACK,
+        "alpha",
+        1234567890123,
+        7,
+        "béta",
+        (Item("gamma", "10.1.2.3:7946", 99, Status.SUSPECT, 3, b"meta"), Item("d", "127.0.0.1:1", 1, Status.LEFT)),
+    )
 
     def test_there_and_back(self) -> None:
         guard = Guard(KEY, 1, 1000.0)
         data = guard.seal(self.message, 1000.9)
         found = Guard(KEY, 1, 0.0).open(data, "a", 1001.0)
         assert found
-        self.assertEqual((found.kind, found.sender, found.incarnation, found.number, found.target, found.items),
-                         (Kind.ACK, "alpha", 1234567890123, 7, "béta", self.message.items))
+        self.assertEqual(
+            (found.kind, found.sender, found.incarnation, found.number, found.target, found.items),
+            (Kind.ACK, "alpha", 1234567890123, 7, "béta", self.message.items),
+        )
         self.assertEqual(decode(data, None).items, self.message.items)  # as the command line reads it, without keys
 
     def test_a_datagram_cut_or_changed_anywhere_is_dropped(self) -> None:
         data = Guard(KEY, 1, 1000.0).seal(self.message, 1000.0)
         for at in range(len(data)):
-            for bad in (data[:at], data[:at] + bytes([data[at] ^ 0x40]) + data[at + 1:]):
+            for bad in (data[:at], data[:at] + bytes([data[at] ^ 0x40]) + data[at + 1 :]):
                 guard = Guard(KEY, 1, 0.0)
                 self.assertIsNone(guard.open(bad, "a", 1000.0), (at, bad))
                 self.assertEqual(guard.dropped.total(), 1)
@@ -51,8 +59,13 @@
         guard = Guard(KEY, 1, 0.0)
         good = ours.seal(self.message, 1000.0)
         self.assertIsNotNone(guard.open(good, "a", 1000.0))
-        for data, clock in ((good, 1000.0), (theirs.seal(self.message, 1000.0), 1000.0), (b"x" * 65000, 1000.0),
-                            (ours.seal(self.message, 1000.0), 1001.0 + SKEW), (good, 1000.0)):
+        for data, clock in (
+            (good, 1000.0),
+            (theirs.seal(self.message, 1000.0), 1000.0),
+            (b"x" * 65000, 1000.0),
+            (ours.seal(self.message, 1000.0), 1001.0 + SKEW),
+            (good, 1000.0),
+        ):
             self.assertIsNone(guard.open(data, "a", clock))
         self.assertEqual(guard.dropped, {"replayed": 2, "unknown key": 1, "too long": 1, "clock": 1})
         self.assertEqual(sorted(guard.news), ["clock", "replayed", "too long", "unknown key"])
@@ -73,8 +86,14 @@
         def heard(by: Guard, of: Guard) -> bool:
             return by.open(of.seal(self.message, 1000.0), "a", 1000.0) is not None
 
-        for one, keys, sends in ((first, both, 1), (second, both, 1), (first, both, 2), (second, both, 2),
-                                 (first, {2: both[2]}, 2), (second, {2: both[2]}, 2)):
+        for one, keys, sends in (
+            (first, both, 1),
+            (second, both, 1),
+            (first, both, 2),
+            (second, both, 2),
+            (first, {2: both[2]}, 2),
+            (second, {2: both[2]}, 2),
+        ):
             one.rotate(keys, sends)
             self.assertTrue(heard(first, second) and heard(second, first))
         behind = Guard(KEY, 1, 1000.0)  # left behind: told apart, not believed
--- a/tests/test_members_daemon.py
+++ b/tests/test_members_daemon.py
@@ -35,10 +35,18 @@
             self.keys(number, 1, {1: FIRST})
             (self.folder / f"{number}.toml").write_text(
                 f'[members]\nudp = "{self.hosts[number]}:7946"\nkeys = "{number}.keys"\n'
-                f"seeds = {json.dumps([f'{one}:7946' for one in self.hosts[:2]])}\n")
-            (self.folder / f"{number}.json").write_text(json.dumps({
-                "settings": RAW | {"Instances": SIZE}, "name": f"a{number}", "listen": f"{self.hosts[number]}:5060",
-                "management": f"{self.hosts[number]}:7001"}))
+                f"seeds = {json.dumps([f'{one}:7946' for one in self.hosts[:2]])}\n"
+            )
+            (self.folder / f"{number}.json").write_text(
+                json.dumps(
+                    {
+                        "settings": RAW | {"Instances": SIZE},
+                        "name": f"a{number}",
+                        "listen": f"{self.hosts[number]}:5060",
+                        "management": f"{self.hosts[number]}:7001",
+                    }
+                )
+            )
             await self.start(number)
         await self.until(lambda: self.all_see(dict.fromkeys(range(SIZE), "alive")))
 
@@ -56,8 +64,18 @@
     async def start(self, number: int) -> None:
         with open(self.folder / f"{number}.log", "ab") as out:
             self.processes[number] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "seamlb", "serve", "--config", str(self.folder / f"{number}.json"),
-                "--plugins", str(self.folder / f"{number}.toml"), cwd=ROOT, stdout=out, stderr=out)
+                sys.executable,
+                "-m",
+                "seamlb",
+                "serve",
+                "--config",
+                str(self.folder / f"{number}.json"),
+                "--plugins",
+                str(self.folder / f"{number}.toml"),
+                cwd=ROOT,
+                stdout=out,
+                stderr=out,
+            )
 
     async def table(self, number: int) -> dict[str, Any]:
         try:
@@ -75,7 +93,8 @@
             if one.returncode is None and wanted[number] == "alive":
                 told = await self.table(number)
                 if {row["name"]: row["status"] for row in told.get("members", ())} != {
-                        f"a{other}": status for other, status in wanted.items()}:
+                    f"a{other}": status for other, status in wanted.items()
+                }:
                     return False
         return True
 
@@ -173,16 +192,18 @@
             good = '[members]\nudp = "127.0.0.1:7946"\nkeys = "k"\n'
             key = f'send = 1\n[keys]\n1 = "{FIRST}"\n'
             for table, keys, mode, says in (
-                    (good, key, 0o600, ""), (good, key, 0o640, "make its mode 0600"),
-                    (good + 'seeds = ["nowhere"]', key, 0o600, "members.seeds: not host:port"),
-                    (good + 'seeds = ["host:1"]', key, 0o600, "members.seeds"),
-                    (good + "seeds = [1]", key, 0o600, "members.seeds: wrong type"),
-                    (good + "port = 1", key, 0o600, "members.port: unknown key"),
-                    (good, key.replace("send = 1", "send = 2"), 0o600, "send: no key 2"),
-                    (good, 'send = 1\n[keys]\n1 = "zz"\n', 0o600, "key 1: no hex digits"),
-                    (good, 'send = 1\n[keys]\n1 = "11"\n', 0o600, "not 16 to 64 bytes"),
-                    (good, "", 0o600, "not `send` and a table"),
-                    (good.replace('"k"', '"none"'), key, 0o600, "No such")):
+                (good, key, 0o600, ""),
+                (good, key, 0o640, "make its mode 0600"),
+                (good + 'seeds = ["nowhere"]', key, 0o600, "members.seeds: not host:port"),
+                (good + 'seeds = ["host:1"]', key, 0o600, "members.seeds"),
+                (good + "seeds = [1]", key, 0o600, "members.seeds: wrong type"),
+                (good + "port = 1", key, 0o600, "members.port: unknown key"),
+                (good, key.replace("send = 1", "send = 2"), 0o600, "send: no key 2"),
+                (good, 'send = 1\n[keys]\n1 = "zz"\n', 0o600, "key 1: no hex digits"),
+                (good, 'send = 1\n[keys]\n1 = "11"\n', 0o600, "not 16 to 64 bytes"),
+                (good, "", 0o600, "not `send` and a table"),
+                (good.replace('"k"', '"none"'), key, 0o600, "No such"),
+            ):
                 with self.subTest(says=says):
                     (folder / "p.toml").write_text(table)
                     (folder / "k").write_text(keys)
@@ -190,8 +211,9 @@
                     check_files(self, folder, says)
 
     def test_a_datagram_in_words(self) -> None:
-        data = Guard({1: b"k" * 32}, 1, 1.0).seal(Datagram(
-            Kind.PING, "a", 5, 3, "b", (Item("c", "10.0.0.1:7", 9, Status.SUSPECT),)), 2.0)
+        data = Guard({1: b"k" * 32}, 1, 1.0).seal(
+            Datagram(Kind.PING, "a", 5, 3, "b", (Item("c", "10.0.0.1:7", 9, Status.SUSPECT),)), 2.0
+        )
         told = CliRunner().invoke(main, ["members", "decode", data.hex()])
         self.assertEqual(told.exit_code, 0)
         self.assertIn("PING of a (incarnation 5", told.output)
--- a/tests/test_merged.py
+++ b/tests/test_merged.py
@@ -82,8 +82,14 @@
         async def consul(stand: Stand, path: str) -> bytes | None:
             if "index=0" not in path:
                 await asyncio.Event().wait()
-            one = {"Node": "n", "ServiceID": "c", "ServiceAddress": "127.0.0.1", "Address": "127.0.0.1",
-                   "ServicePort": 9, "ServiceMeta": {}}
+            one = {
+                "Node": "n",
+                "ServiceID": "c",
+                "ServiceAddress": "127.0.0.1",
+                "Address": "127.0.0.1",
+                "ServicePort": 9,
+                "ServiceMeta": {},
+            }
             checks = [{"Node": {"Node": "n"}, "Service": {"ID": "c"}, "Checks": [{"Status": "passing"}]}]
             return http([one] if "catalog" in path else checks, index=1)
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -8,10 +8,14 @@
 from seamlb.protocol.report import parse_figures, parse_report
 from seamlb.protocol.sip import Framer, Message, SipError, parse_datagram, releases, split_list
 
-GOOD = (b"INVITE sip:7@net SIP/2.0\r\nv: SIP/2.0/TCP a;branch=z9hG4bK1,\r\n SIP/2.0/TCP b\r\ni: 1\r\n"
-        b"CSeq: 1 INVITE\r\nl: 4\r\n\r\nab\r\n")
-BYTES = st.one_of(st.binary(max_size=300), st.builds(
-    lambda at, put: GOOD[:at] + put + GOOD[at:], st.integers(0, len(GOOD)), st.binary(max_size=12)))
+GOOD = (
+    b"INVITE sip:7@net SIP/2.0\r\nv: SIP/2.0/TCP a;branch=z9hG4bK1,\r\n SIP/2.0/TCP b\r\ni: 1\r\n"
+    b"CSeq: 1 INVITE\r\nl: 4\r\n\r\nab\r\n"
+)
+BYTES = st.one_of(
+    st.binary(max_size=300),
+    st.builds(lambda at, put: GOOD[:at] + put + GOOD[at:], st.integers(0, len(GOOD)), st.binary(max_size=12)),
+)
 
 
 def read(framer: Framer, data: bytes) -> list[Message | SipError]:
@@ -46,9 +50,11 @@
         head = [("Call-ID", "1"), ("CSeq", "1 INVITE")]
         good = Message(status=200, reason="OK", headers=head, body=body).encode()
         others = (
-            good, Message(status=503, reason="Full", headers=head).encode(),
+            good,
+            Message(status=503, reason="Full", headers=head).encode(),
             Message("NOTIFY", "sip:exchange@net", headers=[("Call-ID", "2"), ("CSeq", "1 NOTIFY")]).encode(),
-            Message("BYE", "sip:call@net", headers=[("Call-ID", "2"), ("CSeq", "1 BYE")]).encode())
+            Message("BYE", "sip:call@net", headers=[("Call-ID", "2"), ("CSeq", "1 BYE")]).encode(),
+        )
         for next_one in others:
             for missing in range(1, len(body)):
                 framer, told = Framer(whole=True), list[Message | SipError]()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -166,10 +166,14 @@
             self.addCleanup(udp.close)
             udp.datagram_received = lambda data, addr, udp=udp: udp.got.put_nowait((data, addr))
         limits = {"AttemptsCap": 4, "Peers": True, "MaxRetryAfter": 0}
-        daemon = Daemon(config(
-            settings={"Limits": limits}, peer_listen="127.0.0.1:0", peers=["127.0.0.1:1", one.address],
-            peers_all=everyone.address,
-        ))
+        daemon = Daemon(
+            config(
+                settings={"Limits": limits},
+                peer_listen="127.0.0.1:0",
+                peers=["127.0.0.1:1", one.address],
+                peers_all=everyone.address,
+            )
+        )
         self.addAsyncCleanup(self._stop, daemon, ())
         await daemon.start()
         daemon.peers.send(1, b"to one")
@@ -200,7 +204,7 @@
                 agent.list_changed(api.Scope.DELTA, [here, replace(here, availability=gone)])
                 continue
             agent.list_changed(api.Scope.DELTA, [self.desk(0, desk.address, gone), here])
-            core = agent.module.cores[agent.numbers[here.ident]]
+            core = agent.module.node.fleet.servers[agent.numbers[here.ident]]
             core.cold_from, core.tokens = float("-inf"), 2.0
             caller.send(invite(ident))
             await caller.until(200)
@@ -210,9 +214,16 @@
         self.assertEqual(list(agent.numbers), ["d0"])
         self.assertEqual(list(agent.names), list(agent.numbers.values()))
         self.assertEqual(agent.next_number, 2021)  # 2,000 desks, and d0 anew each time: no number was given twice
-        self.assertEqual((len(agent.listed), len(agent.module.cores), len(desks.links)), (1, 1, 1))
-        for left in (agent.lives, agent.module.calls, agent.module.turned, +agent.held, desks.legs,
-                     daemon.front.calls, daemon.front.releases.pending):
+        self.assertEqual((len(agent.listed), len(agent.module.node.fleet.servers), len(desks.links)), (1, 1, 1))
+        for left in (
+            agent.lives,
+            agent.module.calls,
+            agent.module.callers.turned,
+            +agent.held,
+            desks.legs,
+            daemon.front.calls,
+            daemon.front.releases.pending,
+        ):
             self.assertFalse(left)
         await self.eventually(lambda: len(desks.tasks) <= 2 and len(agent.tasks) == 0)  # one keeper, one reader
 
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -13,7 +13,8 @@
 
 
 def test_module_keeps_its_size() -> None:
-    lines = (ROOT / "seamlb" / "control.py").read_text().splitlines()
+    paths = (ROOT / "seamlb" / "policy").glob("*.py")
+    lines = [line for path in paths for line in path.read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= 500
     assert max(map(len, lines)) <= 110
 
@@ -21,6 +22,8 @@
 def test_the_deploy_file_names_all_of_the_daemon() -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     named = {*deploy["node"], *deploy["policy"], "seamlb/drill.py", "seamlb/__init__.py", "seamlb/py.typed"}
-    there = {f"seamlb/{one.name}" for one in (ROOT / "seamlb").iterdir() if one.name != "__pycache__"}
-    assert named == there
+    package = ROOT / "seamlb"
+    there = {f"seamlb/{one.name}" for one in package.iterdir() if one.name not in ("__pycache__", "policy")}
+    assert named - set(deploy["policy"]) == there
+    assert set(deploy["policy"]) == {f"seamlb/policy/{one.name}" for one in (package / "policy").glob("*.py")}
     assert {"build", "run", "sim"} <= deploy.keys()
--- a/tests/test_plan_daemon.py
+++ b/tests/test_plan_daemon.py
@@ -73,7 +73,7 @@
         self.listed = [self.desk(k, await d.start()) for k, d in enumerate(desks)]
         daemon.agent.list_changed(api.Scope.CACHED, self.listed)
         for place in range(len(desks)):
-            await self.eventually(lambda place=place: daemon.agent.module.cores[place].told > 0)
+            await self.eventually(lambda place=place: daemon.agent.module.node.fleet.servers[place].told > 0)
             self.warm(daemon, place)
         return daemon
 
@@ -102,7 +102,7 @@
         self.write(first=9)
         assert daemon.plan.guide is not None
         self.assertIsNone(daemon.plan.guide.followed)
-        self.assertIs(daemon.agent.module.set, daemon.config.settings)
+        self.assertIs(daemon.agent.module.node.settings, daemon.config.settings)
         daemon.reload()
         await self.call("00000000000000a3")
         await second.until("INVITE")
@@ -114,7 +114,7 @@
         good = (self.folder / "plan.toml").read_text()
         other = PROBLEM.format(first=9).replace("agents = 9", "agents = 8")
         for text, problem, reason in (
-            (good[:len(good) // 2], None, "plan.toml"),  # truncated
+            (good[: len(good) // 2], None, "plan.toml"),  # truncated
             ("", None, "plan.toml"),
             (good.replace("units = 20", "units = 21"), None, "arrive at desks"),  # edited by hand
             (good, other, "another problem"),
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -31,8 +31,12 @@
     supply = tuple(units for cell in problem.cells for units in plan.flows.supply[cell])
     pairs = sorted({(kind, district) for kind, district, _ in problem.cells})
     given = problem.given(plan.placement)
-    routes = tuple(plan.flows.routes[kind, district, desk] for desk in sorted(problem.desk)
-                   for kind, district in pairs if kind in given.get(desk, ()))
+    routes = tuple(
+        plan.flows.routes[kind, district, desk]
+        for desk in sorted(problem.desk)
+        for kind, district in pairs
+        if kind in given.get(desk, ())
+    )
     return (*plan.objective.key(), problem.bits(plan.placement), supply, routes)
 
 
@@ -74,6 +78,7 @@
 
 def _rules(problem: Problem) -> list[Rule]:
     from seamlb.planning.program import rules
+
     return rules(problem)
 
 
@@ -81,17 +86,33 @@
 
 
 def desk(name: str, agents: int = 4, **change: Any) -> PlanDesk:
-    return PlanDesk(**({"name": name, "district": "d0", "agents": agents, "rate_milli": 10_000,
-                        "skills": frozenset(("a", "b")), "fixed_cost": 10} | change))
+    return PlanDesk(
+        **(
+            {
+                "name": name,
+                "district": "d0",
+                "agents": agents,
+                "rate_milli": 10_000,
+                "skills": frozenset(("a", "b")),
+                "fixed_cost": 10,
+            }
+            | change
+        )
+    )
 
 
 def problem(*desks: PlanDesk, load: int = 2, **change: Any) -> Problem:
     """Two classes by loss (half of all calls), loads of whole erlangs."""
     kinds = (Kind("a", 2, 10_000, "loss", target_ppm=500_000), Kind("b", 1, 10_000, "loss", target_ppm=500_000))
     facts: dict[str, Any] = {
-        "districts": ("d0", "d1"), "times": {("d0", "d0"): 0, ("d1", "d1"): 0, ("d0", "d1"): 9, ("d1", "d0"): 9},
-        "offices": (Office("o", 1000),), "kinds": kinds, "desks": desks, "demand": {("a", "d0", "o"): load},
-        "grain": 1000}
+        "districts": ("d0", "d1"),
+        "times": {("d0", "d0"): 0, ("d1", "d1"): 0, ("d0", "d1"): 9, ("d1", "d0"): 9},
+        "offices": (Office("o", 1000),),
+        "kinds": kinds,
+        "desks": desks,
+        "demand": {("a", "d0", "o"): load},
+        "grain": 1000,
+    }
     made = Problem(**(facts | change))
     check_problem(made)
     return made
@@ -152,9 +173,11 @@
 
 
 def test_contradictory_pins() -> None:
-    for change in ({"pinned": frozenset("a"), "forbidden": frozenset("a")},
-                   {"pinned": frozenset("ab"), "most_classes": 1},
-                   {"pinned": frozenset("b"), "skills": frozenset("a")}):
+    for change in (
+        {"pinned": frozenset("a"), "forbidden": frozenset("a")},
+        {"pinned": frozenset("ab"), "most_classes": 1},
+        {"pinned": frozenset("b"), "skills": frozenset("a")},
+    ):
         with pytest.raises(Infeasible):
             solve(made := problem(desk("x", **change)))
         made = problem(desk("x", **change))
@@ -173,14 +196,14 @@
     # A plan in force that is against the rules itself has to be left, which may take more moves than allowed.
     bad = frozenset({("x", "a"), ("y", "a")})
     with pytest.raises(Infeasible):
-        solve(problem(desk("x", forbidden=frozenset("a")), desk("y", forbidden=frozenset("a")),
-                      current=bad, moves=1))
+        solve(problem(desk("x", forbidden=frozenset("a")), desk("y", forbidden=frozenset("a")), current=bad, moves=1))
     assert solve(problem(desk("x", forbidden=frozenset("a")), desk("y"), current=bad, moves=1)).objective.moves == 1
 
 
 def test_costs_of_a_thousand_million() -> None:
-    dear = problem(desk("x", fixed_cost=10**9), desk("y", fixed_cost=10**9 - 1), desk("z", fixed_cost=10**9 + 1),
-                   load=1)
+    dear = problem(
+        desk("x", fixed_cost=10**9), desk("y", fixed_cost=10**9 - 1), desk("z", fixed_cost=10**9 + 1), load=1
+    )
     plan = solve(dear)
     assert plan.placement == {("y", "a")} and plan.objective.cost == 10**9 - 1
     short = replace(dear, budget=10**9 - 2)
@@ -218,16 +241,24 @@
     room = made.caps["x", "a"]
     crowded = problem(desk("x"), load=room + 1)
     full = solve(crowded)
-    moved = replace(full, flows=replace(full.flows, supply={("a", "d0", "o"): (room + 1, 0)},
-                                        routes={("a", "d0", "x"): room + 1}),
-                    objective=replace(full.objective, worth=200 * (room + 1)))
+    moved = replace(
+        full,
+        flows=replace(full.flows, supply={("a", "d0", "o"): (room + 1, 0)}, routes={("a", "d0", "x"): room + 1}),
+        objective=replace(full.objective, worth=200 * (room + 1)),
+    )
     assert any("grade of service" in line for line in check(crowded, moved))
 
 
 def test_same_bytes_from_another_order_of_the_file() -> None:
     made = random_problem(4)
-    turned = replace(made, desks=made.desks[::-1], kinds=made.kinds[::-1], offices=made.offices[::-1],
-                     districts=made.districts[::-1], demand=dict(reversed(list(made.demand.items()))))
+    turned = replace(
+        made,
+        desks=made.desks[::-1],
+        kinds=made.kinds[::-1],
+        offices=made.offices[::-1],
+        districts=made.districts[::-1],
+        demand=dict(reversed(list(made.demand.items()))),
+    )
     assert plan_text(made, solve(made)) == plan_text(turned, solve(turned))
 
 
@@ -256,8 +287,13 @@
 def test_nothing_but_the_plan_on_standard_output() -> None:
     """The solver's library greets on standard output, beneath Python's own."""
     small = ROOT / "examples/plan/small.toml"
-    done = subprocess.run([sys.executable, "-m", "seamlb", "plan", "solve", small, "--quiet"], capture_output=True,
-                          text=True, cwd=ROOT, check=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "seamlb", "plan", "solve", small, "--quiet"],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        check=True,
+    )
     assert done.stdout == plan_text(load_problem(small), solve(load_problem(small))) and done.stderr == ""
 
 
@@ -334,24 +370,27 @@
     assert compare(77) and compare(111)
 
 
-@pytest.mark.parametrize(("old", "new", "reason"), [
-    ('name = "szeged"', 'nome = "szeged"', "nome"),
-    ("worth = 1", "worth = -1", "worth"),
-    ("worth = 1", "worth = 1.5", "worth"),
-    ("erlangs = 7.0", "erlangs = nan", "demand[0].erlangs"),
-    ("erlangs = 7.0", "erlangs = inf", "demand[0].erlangs"),
-    ("erlangs = 7.0", "erlangs = 7.0\ncalls_per_s = 1.0", "either"),
-    ("agents = 8", "agents = -8", "agents"),
-    ("fixed_cost = 500", "fixed_cost = 2000000000", "fixed_cost"),
-    ('name = "szeged-1"', 'name = "debrecen-1"', "twice"),
-    ('name = "debrecen"\n', 'name = "szeged"\n', "unknown district"),
-    ("share = 1.0", "share = 1.1", "share"),
-    ('skills = ["alert-confirm", "level-check"]', 'skills = ["alarm"]', "unknown class"),
-    ("debrecen = 18.0", "debrecen = 18.0, gyor = 2.0", "unknown district"),
-    ("{ debrecen = 18.0 }", "{}", "missing"),
-    ("[[office]]", "[[office", ""),
-    ("target = 0.10", "target = 1.0", "target"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "reason"),
+    [
+        ('name = "szeged"', 'nome = "szeged"', "nome"),
+        ("worth = 1", "worth = -1", "worth"),
+        ("worth = 1", "worth = 1.5", "worth"),
+        ("erlangs = 7.0", "erlangs = nan", "demand[0].erlangs"),
+        ("erlangs = 7.0", "erlangs = inf", "demand[0].erlangs"),
+        ("erlangs = 7.0", "erlangs = 7.0\ncalls_per_s = 1.0", "either"),
+        ("agents = 8", "agents = -8", "agents"),
+        ("fixed_cost = 500", "fixed_cost = 2000000000", "fixed_cost"),
+        ('name = "szeged-1"', 'name = "debrecen-1"', "twice"),
+        ('name = "debrecen"\n', 'name = "szeged"\n', "unknown district"),
+        ("share = 1.0", "share = 1.1", "share"),
+        ('skills = ["alert-confirm", "level-check"]', 'skills = ["alarm"]', "unknown class"),
+        ("debrecen = 18.0", "debrecen = 18.0, gyor = 2.0", "unknown district"),
+        ("{ debrecen = 18.0 }", "{}", "missing"),
+        ("[[office]]", "[[office", ""),
+        ("target = 0.10", "target = 1.0", "target"),
+    ],
+)
 def test_a_bad_problem_is_one_line(tmp_path: Path, old: str, new: str, reason: str) -> None:
     path = tmp_path / "bad.toml"
     text = (ROOT / "examples/plan/small.toml").read_text()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -38,8 +38,11 @@
 
     async def test_statuses_become_outcomes(self) -> None:
         for status, note, ends in (
-            (503, "acc", (api.Status.FULL, 3)), (486, "sub", (api.Status.ERROR, 4)),
-            (500, "", (api.Status.ERROR, 0)), (480, "atb", (api.Status.MOOT, 1)), (504, "", (api.Status.RESET, 0)),
+            (503, "acc", (api.Status.FULL, 3)),
+            (486, "sub", (api.Status.ERROR, 4)),
+            (500, "", (api.Status.ERROR, 0)),
+            (480, "atb", (api.Status.MOOT, 1)),
+            (504, "", (api.Status.RESET, 0)),
         ):
             with self.subTest(status=status):
                 daemon = await self.start(ScriptedDesk(refuse(status, ("X-Diagnosis", note))))
@@ -76,6 +79,7 @@
 
     async def test_a_call_that_is_over_before_its_answer_came_is_not_set_up_again(self) -> None:
         """Seen: the desk's answer was late, its release came first, and a second desk got a call that was over."""
+
         async def ends_first(peer: Peer, message: Message) -> None:
             peer.send(bye(message.get("call-id"), 16))
             peer.send(reply(message, 200, body=SDP))
@@ -91,6 +95,7 @@
 
     async def test_an_answer_that_stops_short_is_not_filled_up_with_the_next(self) -> None:
         """Seen: a caller got a description that no desk had made, the next message's bytes in it."""
+
         async def short(peer: Peer, message: Message) -> None:
             whole = reply(message, 200, body=SDP).encode()
             peer.send(whole[:-9] + reply(message, 503).encode())
@@ -234,7 +239,6 @@
         desk.peers[0].send(bye("feedfeedfeedfeed", 16))
         self.assertEqual((await caller.until("BYE")).get("call-id"), "feedfeedfeedfeed")
 
-
     async def test_a_stall_of_this_process_does_not_stretch_the_callers_time(self) -> None:
         desk = ScriptedDesk(silent)
         daemon = await self.start(desk)
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -1,6 +1,5 @@
 """The platform's front: faults, and input that is malformed, doubled or another's."""
 
-
 from seamlb import api
 from seamlb.protocol.sip import Message
 from tests.loopback import SDP, ScriptedDesk, Story, invite, plain, silent
@@ -35,7 +34,9 @@
         await self.start(ScriptedDesk())
         caller = await self.caller()
         for bad, status in (
-            (invite(kind="nobody"), 400), (plain("PUBLISH"), 405), (plain("BYE", "unknown"), 481),
+            (invite(kind="nobody"), 400),
+            (plain("PUBLISH"), 405),
+            (plain("BYE", "unknown"), 481),
             (b"INVITE sip:1@net SIP/2.0\r\nVia: x\r\nCall-ID: 1\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n", 400),
             (b"INVITE sip:1@net SIP/3.0\r\nVia: x\r\nCall-ID: 1\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n", 505),
         ):
@@ -47,8 +48,11 @@
         daemon = await self.start(ScriptedDesk())
         head = b"INVITE sip:1@net SIP/2.0\r\nVia: x\r\nCall-ID: 1\r\nCSeq: 1 INVITE\r\n"
         for bad, status in (
-            (head + b"Content-Length: -5\r\n\r\n", 400), (head + b"Content-Length: 99999\r\n\r\n", 513),
-            (head + b"\r\n", 400), (b"A" * 20000, 0), (b"\xff\xfe\r\n\r\n", 0),
+            (head + b"Content-Length: -5\r\n\r\n", 400),
+            (head + b"Content-Length: 99999\r\n\r\n", 513),
+            (head + b"\r\n", 400),
+            (b"A" * 20000, 0),
+            (b"\xff\xfe\r\n\r\n", 0),
         ):
             caller = await self.caller()
             caller.send(bad)
@@ -111,10 +115,22 @@
         daemon = await self.start(ScriptedDesk(), settings=pools)
         caller = await self.caller()
         good = invite()
-        changes = [("X-Legs", legs) for legs in (
-            "dest:nan;width:1;via:-1", "dest:0;width:inf", "dest:99;width:1", "dest:-3;width:1", "dest:0;width:0",
-            "dest:0;width:400", "dest:0;width:-1", "dest:0;via:1e300", "dest:0.5", "x", "",
-        )]
+        changes = [
+            ("X-Legs", legs)
+            for legs in (
+                "dest:nan;width:1;via:-1",
+                "dest:0;width:inf",
+                "dest:99;width:1",
+                "dest:-3;width:1",
+                "dest:0;width:0",
+                "dest:0;width:400",
+                "dest:0;width:-1",
+                "dest:0;via:1e300",
+                "dest:0.5",
+                "x",
+                "",
+            )
+        ]
         changes += [("X-Timer-Ms", timer) for timer in ("9" * 23, "-5", "soon", "", "nan", "9001")]
         changes += [("Call-ID", "short"), ("Call-ID", "0" * 15 + "\xe9")]
         for name, value in changes:
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -56,7 +56,6 @@
         await caller.until(503)
         self.assertTrue(desk.seen.empty())
 
-
     async def test_what_stood_at_a_desk_that_is_gone_is_cut_on_both_sides(self) -> None:
         desk = ScriptedDesk()
         daemon = await self.start(desk)
@@ -70,12 +69,16 @@
     async def test_after_an_answer_that_cannot_be_read_its_connection_is_left_at_once(self) -> None:
         head = b"SIP/2.0 200 OK\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\n"
         for spoilt in (
-            b"\xfe\x00 noise\r\n\r\n", head + b"Content-Length: -4\r\nContent-Length: 4\r\n\r\n", head + b"\r\n",
+            b"\xfe\x00 noise\r\n\r\n",
+            head + b"Content-Length: -4\r\nContent-Length: 4\r\n\r\n",
+            head + b"\r\n",
             head + b"Content-Length: 3000000000\r\n\r\n" + b"A" * 65536,
             head + b"no colon\r\nContent-Length: 0\r\n\r\n",
-            head + b"Content-Length: 40\r\n\r\nstops short", b"SIP/2.0 200 OK\r\nX-Pad: never ends" + b"p" * 99,
+            head + b"Content-Length: 40\r\n\r\nstops short",
+            b"SIP/2.0 200 OK\r\nX-Pad: never ends" + b"p" * 99,
         ):
             with self.subTest(spoilt=spoilt[:60]):
+
                 async def spoil(peer: Peer, sent: Message, spoilt: bytes = spoilt) -> None:
                     peer.send(spoilt.replace(b"%s", sent.get("call-id").encode()))  # and it stays open
 
@@ -86,8 +89,12 @@
 
     async def test_more_than_belongs_to_an_answer_is_dropped(self) -> None:
         async def more(peer: Peer, sent: Message) -> None:
-            stranger = Message(status=200, reason="OK", body=b"not theirs", headers=[
-                ("Call-ID", "feedfeedfeedfeed"), ("CSeq", "1 INVITE")])
+            stranger = Message(
+                status=200,
+                reason="OK",
+                body=b"not theirs",
+                headers=[("Call-ID", "feedfeedfeedfeed"), ("CSeq", "1 INVITE")],
+            )
             peer.send(stranger.encode() + 2 * reply(sent, 200, body=SDP).encode())
 
         desk = ScriptedDesk(more)
@@ -102,8 +109,9 @@
         sent = []
         while not desk.seen.empty():
             sent.append(desk.seen.get_nowait())
-        self.assertEqual({(one.method, one.get("call-id")) for one in sent if one.method},
-                         {("INVITE", ID), ("ACK", ID)})
+        self.assertEqual(
+            {(one.method, one.get("call-id")) for one in sent if one.method}, {("INVITE", ID), ("ACK", ID)}
+        )
 
     async def test_a_connection_on_which_nothing_comes_is_left_when_the_desk_tells_its_state_on_another(self) -> None:
         # Its set-ups waited for their time-outs, which the module took for a jam of a desk that answered
--- a/tests/test_plugin_daemon.py
+++ b/tests/test_plugin_daemon.py
@@ -53,7 +53,7 @@
         self.address = f"127.0.0.1:{daemon.front.listener.port}"
         daemon.agent.list_changed(api.Scope.CACHED, [self.desk(k, await d.start()) for k, d in enumerate(desks)])
         for place in range(len(desks)):
-            await self.eventually(lambda place=place: daemon.agent.module.cores[place].told > 0)
+            await self.eventually(lambda place=place: daemon.agent.module.node.fleet.servers[place].told > 0)
             self.warm(daemon, place)
         return daemon
 
@@ -96,14 +96,16 @@
         demands: list[api.Demand] = []
         feed = daemon.agent.feed
         daemon.agent.feed = lambda event: (  # type: ignore[method-assign]
-            demands.append(event) if isinstance(event, api.Demand) else None, feed(event))[1]
+            demands.append(event) if isinstance(event, api.Demand) else None,
+            feed(event),
+        )[1]
         for number in range(30):
             await self.call(number)
         module = daemon.agent.module
         self.assertEqual({demand.tenant for demand in demands}, {2})
         self.assertEqual({module._over_share(daemon.agent.clock(), 2) for _ in range(1000)}, {0})
         self.assertEqual([module._over_share(daemon.agent.clock(), 3) for _ in range(5)], [0, 1, 1, 1, 1])
-        self.assertEqual(module.set.allowances[:2], daemon.config.settings.allowances)
+        self.assertEqual(module.node.settings.allowances[:2], daemon.config.settings.allowances)
         self.assertEqual(set(daemon.agent.settings.tenants), {"x", "y"})
 
     async def test_one_final_answer_whatever_a_plugin_does(self) -> None:
@@ -176,8 +178,9 @@
 
 class Control(PluginStory):
     async def test_commands(self) -> None:
-        self.write("plugin p version 1\nstate evacuation of office\n"
-                   "rule c on classify when evacuation then precedence")
+        self.write(
+            "plugin p version 1\nstate evacuation of office\nrule c on classify when evacuation then precedence"
+        )
         daemon = await self.serve(ScriptedDesk())
         self.assertEqual(stat.S_IMODE(os.stat(self.folder / "c.sock").st_mode), 0o600)
         await self.call(1)
@@ -192,9 +195,14 @@
         self.assertTrue((await self.ask(do="disable", plugin="p"))["ok"])
         self.assertEqual((await self.ask(do="list"))["answer"][0]["health"], "off")
         self.assertTrue((await self.ask(do="unload", plugin="p"))["ok"])
-        for bad, says in (({"do": "unload", "plugin": "p"}, "no plug-in"), ({"do": "explode"}, "unknown command"),
-                          ({"do": "load"}, "a file"), ({"do": "load", "file": "/none"}, "No such file"),
-                          ({"do": "state", "state": "s"}, "no plug-in has"), ({}, "unknown command")):
+        for bad, says in (
+            ({"do": "unload", "plugin": "p"}, "no plug-in"),
+            ({"do": "explode"}, "unknown command"),
+            ({"do": "load"}, "a file"),
+            ({"do": "load", "file": "/none"}, "No such file"),
+            ({"do": "state", "state": "s"}, "no plug-in has"),
+            ({}, "unknown command"),
+        ):
             told = await self.ask(**bad)
             self.assertFalse(told["ok"])
             self.assertIn(says, told["error"])
--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -26,12 +26,24 @@
     return Plugin(program, Interpreter(program), grant)
 
 
-def module(body: str, answers: list[list[str]] | None = None, memory: str = '(memory (export "memory") 1)',
-           extra: str = "", **change: Any) -> bytes:
+def module(
+    body: str,
+    answers: list[list[str]] | None = None,
+    memory: str = '(memory (export "memory") 1)',
+    extra: str = "",
+    **change: Any,
+) -> bytes:
     """A hand-made module whose `run` has this body."""
     wat = f'(module {extra} {memory} (func $run (export "run") (param i32) (result i32) {body}))'
-    told = {"abi": 1, "name": "bad", "version": 1, "inputs": [["fact", "hour", ""]], "points": ["classify"],
-            "answers": answers or [["precedence", ""]], "declared": []} | change
+    told = {
+        "abi": 1,
+        "name": "bad",
+        "version": 1,
+        "inputs": [["fact", "hour", ""]],
+        "points": ["classify"],
+        "answers": answers or [["precedence", ""]],
+        "declared": [],
+    } | change
     custom = unsigned(len(SECTION)) + SECTION.encode() + orjson.dumps(told)
     return bytes(wasmtime.wat2wasm(wat)) + b"\0" + unsigned(len(custom)) + custom
 
@@ -114,8 +126,10 @@
 
 def test_fuel_is_counted_in_instructions() -> None:
     """The same figure on each run, and exactly that much is enough."""
-    for engine in (WasmEngine(module("(i32.const 0)"), 1), Interpreter(compile_text(
-            "plugin p version 1\nrule r on classify when hour > 3 then precedence"))):
+    for engine in (
+        WasmEngine(module("(i32.const 0)"), 1),
+        Interpreter(compile_text("plugin p version 1\nrule r on classify when hour > 3 then precedence")),
+    ):
         runs = {engine.run(0, [5.0], 10_000)[1] for _ in range(3)}
         assert len(runs) == 1
         (used,) = runs
@@ -133,21 +147,24 @@
         WasmEngine(module("(i32.const 0)", memory='(memory (export "memory") 60000)'), 1)
 
 
-@pytest.mark.parametrize(("data", "says"), [
-    (b"", "not a WebAssembly module"),
-    (b"\0asm\1\0\0\0", "no section"),
-    (module("(i32.const 0)", extra='(import "wasi" "exit" (func))'), "nothing may be imported"),
-    (module("(i32.const 0)", memory="(memory 1)"), "exports no memory"),
-    (module("(i32.const 0)", extra="(func $s (loop $l (br $l))) (start $s)"), "fuel"),
-    (module("(i32.const 0)", abi=2), "ABI 2"),
-    (module("(i32.const 0)", points=["send"]), "'send' is none of"),
-    (module("(i32.const 0)", answers=[["send", ""]]), "'send' is none of"),
-    (module("(i32.const 0)", answers=[["alarm", "x" * 300]]), "too long"),
-    (module("(i32.const 0)", inputs=[["keep", "k", ""]]), "not declared"),
-    (module("(i32.const 0)", answers=[["count", "k"]]), "not declared"),
-    (module("(i32.const 0)", inputs=[["fact", "hour"]]), "manifest"),
-    (module("(i32.const 0)", declared=[["keep", "k", "", "x", "", []]]), "manifest"),
-])
+@pytest.mark.parametrize(
+    ("data", "says"),
+    [
+        (b"", "not a WebAssembly module"),
+        (b"\0asm\1\0\0\0", "no section"),
+        (module("(i32.const 0)", extra='(import "wasi" "exit" (func))'), "nothing may be imported"),
+        (module("(i32.const 0)", memory="(memory 1)"), "exports no memory"),
+        (module("(i32.const 0)", extra="(func $s (loop $l (br $l))) (start $s)"), "fuel"),
+        (module("(i32.const 0)", abi=2), "ABI 2"),
+        (module("(i32.const 0)", points=["send"]), "'send' is none of"),
+        (module("(i32.const 0)", answers=[["send", ""]]), "'send' is none of"),
+        (module("(i32.const 0)", answers=[["alarm", "x" * 300]]), "too long"),
+        (module("(i32.const 0)", inputs=[["keep", "k", ""]]), "not declared"),
+        (module("(i32.const 0)", answers=[["count", "k"]]), "not declared"),
+        (module("(i32.const 0)", inputs=[["fact", "hour"]]), "manifest"),
+        (module("(i32.const 0)", declared=[["keep", "k", "", "x", "", []]]), "manifest"),
+    ],
+)
 def test_a_module_that_does_not_fit_is_one_line(data: bytes, says: str) -> None:
     with pytest.raises(BadModule) as caught:
         wasm(data)
@@ -156,8 +173,10 @@
 
 def test_grants_bound_points_and_facts() -> None:
     text = 'rule r on classify when office == "x" then precedence'
-    for grant, says in ((Grant(points=frozenset({"admit"})), "answers on classify"),
-                        (Grant(facts=frozenset({"class"})), "reads office")):
+    for grant, says in (
+        (Grant(points=frozenset({"admit"})), "answers on classify"),
+        (Grant(facts=frozenset({"class"})), "reads office"),
+    ):
         with pytest.raises(Denied, match=says):
             rules(text, grant=grant)
     rules(text, grant=Grant(points=frozenset({"classify"}), facts=frozenset({"office"})))
@@ -213,8 +232,10 @@
 def test_fuel_is_shared_and_one_can_not_eat_what_others_were_to_have() -> None:
     made, _ = chain(wasm(FAULTY["fuel"]), rules("rule r on admit then spare", name="good"), fuel=10_000)
     assert made.advise(0.0, call(1)).standing == 1
-    hungry = module("(local i32) (loop $l (local.set 1 (i32.add (local.get 1) (i32.const 1)))"
-                    "(br_if $l (i32.lt_u (local.get 1) (i32.const 1100)))) (i32.const 0)")
+    hungry = module(
+        "(local i32) (loop $l (local.set 1 (i32.add (local.get 1) (i32.const 1)))"
+        "(br_if $l (i32.lt_u (local.get 1) (i32.const 1100)))) (i32.const 0)"
+    )
     made, _ = chain(wasm(hungry), rules("rule r on admit then spare", name="good"), fuel=10_000)
     for number in range(100):  # just below the bound on every call
         assert made.advise(float(number), call(number)).standing == 1
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -102,15 +102,23 @@
         listen = "{}:{}".format(*held.getsockname())
         path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
         settings = RAW | {"Limits": RAW["Limits"] | {"Peers": True}}
-        path.write_text(json.dumps({
-            "settings": settings, "known": known, "listen": listen, "peer_listen": await self.free_address()}))
+        path.write_text(
+            json.dumps(
+                {"settings": settings, "known": known, "listen": listen, "peer_listen": await self.free_address()}
+            )
+        )
 
         async def agent() -> asyncio.subprocess.Process:
             fd = os.dup(held.fileno())
             try:
                 process = await self.process(
-                    "-m", "seamlb", fds=(fd,), GW_CONFIG=str(path), GW_INHERITED_FD=str(fd),
-                    GW_MANAGEMENT=await self.free_address())
+                    "-m",
+                    "seamlb",
+                    fds=(fd,),
+                    GW_CONFIG=str(path),
+                    GW_INHERITED_FD=str(fd),
+                    GW_MANAGEMENT=await self.free_address(),
+                )
             finally:
                 os.close(fd)
             await self.line(process, '"serving"')
@@ -145,8 +153,9 @@
         with ours, theirs, taken:
             for fd, says in ((ours.fileno(), "not a listening socket"), (987, "Bad file descriptor")):
                 path.write_text(json.dumps({"settings": RAW, "listen": await self.free_address()}))
-                agent = await self.process("-m", "seamlb", "serve", "--config", str(path), fds=(ours.fileno(),),
-                                           GW_INHERITED_FD=str(fd))
+                agent = await self.process(
+                    "-m", "seamlb", "serve", "--config", str(path), fds=(ours.fileno(),), GW_INHERITED_FD=str(fd)
+                )
                 self.assertIn(says, await self.line(agent, '"not_inherited"'))
                 await self.line(agent, '"serving"')
             path.write_text(json.dumps({"settings": RAW, "listen": "{}:{}".format(*taken.getsockname())}))
@@ -160,8 +169,13 @@
         path.write_text(json.dumps({"settings": RAW, "listen": await self.free_address(), "management": at}))
         agent = await self.process("-m", "seamlb", "serve", "--config", str(path))
         await self.line(agent, '"serving"')
-        for call, code, says in (("health", 0, "ready"), ("stats", 0, '"registry_entries": 0'),
-                                 ("quiesce", 0, "quiescing"), ("health", 1, "quiescing"), ("resume", 0, "ready")):
+        for call, code, says in (
+            ("health", 0, "ready"),
+            ("stats", 0, '"registry_entries": 0'),
+            ("quiesce", 0, "quiescing"),
+            ("health", 1, "quiescing"),
+            ("resume", 0, "ready"),
+        ):
             told = await asyncio.to_thread(CliRunner().invoke, main, ["admin", call, "--at", at])
             self.assertEqual(told.exit_code, code, told.output)
             self.assertIn(says, told.output)
@@ -173,8 +187,9 @@
     async def test_the_example_runs_as_written(self) -> None:
         desk = await self.process("examples/toy.py", "desk")
         await self.line(desk, "toy desk on")
-        agent = await self.process("-m", "seamlb", "serve", "--config", "examples/config.json",
-                                   "--plugins", "examples/sip.toml")
+        agent = await self.process(
+            "-m", "seamlb", "serve", "--config", "examples/config.json", "--plugins", "examples/sip.toml"
+        )
         await self.line(agent, '"serving"')
         call = await self.process("examples/toy.py", "call", "alert-confirm")
         self.assertIn("toy desk", await self.line(call, "SIP/2.0 200"))
@@ -198,8 +213,9 @@
         path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
         path.write_text(json.dumps({"settings": RAW, "name": "n", "listen": "127.0.0.1:0"}))
         listen, management = await self.free_address(), await self.free_address()
-        agent = await self.process("-m", "seamlb", GW_CONFIG=str(path), GW_LISTEN=listen,
-                                   GW_MANAGEMENT=management, GW_NAME="n1")
+        agent = await self.process(
+            "-m", "seamlb", GW_CONFIG=str(path), GW_LISTEN=listen, GW_MANAGEMENT=management, GW_NAME="n1"
+        )
         await self.line(agent, '"serving"')
         caller = await Peer.dial(listen)  # one caller, so that what a connection opens is seen too
         caller.send(invite(timer=300))
--- a/tests/test_relations.py
+++ b/tests/test_relations.py
@@ -15,13 +15,17 @@
 NAMES = st.lists(st.sampled_from(["d1", "d2", "d3", "d4"]), unique=True).map(sorted)
 PART = st.integers(0, 10).map(float)
 VALUES: dict[str, st.SearchStrategy[Any]] = {
-    "limit": st.integers(0, 1000), "floor": st.integers(0, 1000), "held": NAMES,
+    "limit": st.integers(0, 1000),
+    "floor": st.integers(0, 1000),
+    "held": NAMES,
     "share": st.dictionaries(st.sampled_from(WHO), PART).map(lambda parts: {"whole": 30.0, "parts": parts}),
     "owner": st.sampled_from(["", *WHO]),
     "left": st.lists(st.sampled_from(ZONES), unique=True, max_size=2).map(
-        lambda left: {"zones": ZONES, "left": sorted(left)}),
+        lambda left: {"zones": ZONES, "left": sorted(left)}
+    ),
     "numbers": st.dictionaries(st.sampled_from(["x", "y", "z"]), st.integers(0, 5)).filter(
-        lambda one: len(set(one.values())) == len(one)),
+        lambda one: len(set(one.values())) == len(one)
+    ),
 }
 
 
@@ -53,11 +57,24 @@
         assert all(relation.keeps(who, alone, value) for who in WHO)
 
 
-@pytest.mark.parametrize(("kind", "value"), [
-    ("limit", -1), ("limit", True), ("limit", "5"), ("limit", float("inf")),
-    ("held", ["b", "a"]), ("held", ["a", "a"]), ("owner", 3), ("new", 1), ("numbers", {"x": 1, "y": 1}),
-    ("share", {"whole": 1.0, "parts": {"a": 0.6, "b": 0.6}}), ("share", {"parts": {}}),
-    ("left", {"zones": ["x"], "left": ["x"]}), ("left", {"zones": ["x"], "left": ["y"]})])
+@pytest.mark.parametrize(
+    ("kind", "value"),
+    [
+        ("limit", -1),
+        ("limit", True),
+        ("limit", "5"),
+        ("limit", float("inf")),
+        ("held", ["b", "a"]),
+        ("held", ["a", "a"]),
+        ("owner", 3),
+        ("new", 1),
+        ("numbers", {"x": 1, "y": 1}),
+        ("share", {"whole": 1.0, "parts": {"a": 0.6, "b": 0.6}}),
+        ("share", {"parts": {}}),
+        ("left", {"zones": ["x"], "left": ["x"]}),
+        ("left", {"zones": ["x"], "left": ["y"]}),
+    ],
+)
 def test_a_value_that_its_kind_cannot_have_is_refused(kind: str, value: Any) -> None:
     with pytest.raises(WrongCharter, match="^rule: "):
         Charter(1, "", ("a",), ("a",), {"rule": Field(kind, value, value)})
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -65,8 +65,16 @@
                 counts["b", "throttled" if self.rng.random() < share else "fulfilled"] += 1
             sample = Sample(f"{name}{self.processes[name]}", running, self.now, dict(counts), {})
             failed = self.failing.get(name, "") if self.wanted.get(name) == NEW.ident else ""
-            self.views[name] = View(self.now, running, True, "", failed, self.wanted.get(name, ""),
-                                    self.crashes[name], None if name in self.blind else sample)
+            self.views[name] = View(
+                self.now,
+                running,
+                True,
+                "",
+                failed,
+                self.wanted.get(name, ""),
+                self.crashes[name],
+                None if name in self.blind else sample,
+            )
         orders = self.course.step(self.now, self.views)
         self.events += self.course.said
         self.course.said.clear()
@@ -135,8 +143,10 @@
 
     def test_no_verdict_from_silence(self) -> None:
         """A stage waits for figures of its agents, and for any to compare with, and stops at its bound."""
-        for blind, says in (({"a0"}, "a0: no figures for 11 s"),
-                            ({"a1", "a2", "a3"}, "no fresh figures from any agent to compare with")):
+        for blind, says in (
+            ({"a0"}, "a0: no figures for 11 s"),
+            ({"a1", "a2", "a3"}, "no fresh figures from any agent to compare with"),
+        ):
             toy = Toy(plan(4, Stage(1, 5.0, most=30.0), Stage("all")))
             toy.blind = blind
             toy.until_over(100)
@@ -258,11 +268,16 @@
             found.move(frozenset({"n"}))
             for name in ("n", "o", "p"):
                 times = Counter(
-                    200 if name == "n" and rng.random() < share else rng.choice((19, 20, 21, 22)) for _ in range(800))
+                    200 if name == "n" and rng.random() < share else rng.choice((19, 20, 21, 22)) for _ in range(800)
+                )
                 empty = Sample(name, name, 0.0, {}, {})
                 found.hear(name, empty, 0, name)
-                found.hear(name, dataclasses.replace(
-                    empty, at=9.0, counts={("b", "fulfilled"): 800}, answer_ms={"b": times}), 0, name)
+                found.hear(
+                    name,
+                    dataclasses.replace(empty, at=9.0, counts={("b", "fulfilled"): 800}, answer_ms={"b": times}),
+                    0,
+                    name,
+                )
             return found
 
         self.assertIsNone(worse(heard(0.0), 0.005, 0.05))
@@ -303,8 +318,9 @@
         keeping = self.serving()
         keeping.order(2.0, "new")
         keeping.exited(2.5, 2, "exit code 7")
-        self.assertEqual((keeping.failed, keeping.running, keeping.crashes),
-                         ("ended before it served: exit code 7", "old", 0))
+        self.assertEqual(
+            (keeping.failed, keeping.running, keeping.crashes), ("ended before it served: exit code 7", "old", 0)
+        )
         self.assertEqual(keeping.order(3.0, "new"), [Start(3, "new")])  # asked again it tries again
         self.assertEqual(keeping.tick(3.1 + READY_WITHIN), [Kill(3)])
         self.assertIn("not ready", keeping.failed)
@@ -347,8 +363,10 @@
         self.assertEqual((keeping.running, keeping.crashes), ("new", 1))
 
     @settings(max_examples=300, deadline=None)
-    @given(st.lists(st.sampled_from(["order new", "order old", "ready", "exit", "tick", "end"]), max_size=40),
-           st.randoms(use_true_random=False))
+    @given(
+        st.lists(st.sampled_from(["order new", "order old", "ready", "exit", "tick", "end"]), max_size=40),
+        st.randoms(use_true_random=False),
+    )
     def test_any_course_of_events_keeps_the_rules(self, course: list[str], rng: random.Random) -> None:
         """At most two that may serve, one order's process at a time, nobody is told to go twice but to be killed."""
         keeping, now = Keeping("old"), 0.0
@@ -413,7 +431,7 @@
         whole = self.path.read_bytes()
         self.assertEqual(record.read(self.path), b"what is kept")
         for at in range(len(whole)):
-            for torn in (whole[:at], whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1:]):
+            for torn in (whole[:at], whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1 :]):
                 self.path.write_bytes(torn)
                 with self.assertRaises(record.RecordError, msg=(at, torn)):
                     record.read(self.path)
@@ -424,8 +442,11 @@
         real = os.fsync
         try:
             for failing in ("fsync", "replace"):
-                with self.subTest(failing=failing), unittest.mock.patch(
-                        f"os.{failing}", side_effect=OSError(5, "Input/output error")), self.assertRaises(OSError):
+                with (
+                    self.subTest(failing=failing),
+                    unittest.mock.patch(f"os.{failing}", side_effect=OSError(5, "Input/output error")),
+                    self.assertRaises(OSError),
+                ):
                     record.write(self.path, b"new")
                 self.assertEqual(record.read(self.path), b"old")
                 self.assertEqual([one.name for one in self.folder.iterdir()], ["r"])
@@ -479,14 +500,19 @@
         with tempfile.TemporaryDirectory() as name:
             folder = Path(name)
             (folder / "c.json").write_text("{}")
-            cases = (("", "", ""), ("127.0.0.1:2", "127.0.0.1:1", "agent.keeper: one is there twice"),
-                     ('name = "2"', 'name = "1"', "new.name: the same as old.name"),
-                     ('["two"]', '["one"]', "new: the same command and configuration as old"),
-                     ('"all"', '"10 %"', "stage: not growing"), ('"all"', '"most"', "stage[1].agents: no number"),
-                     ("agents = 1\n", "agents = 0\n", "stage[0].agents: not above 0"),
-                     ("agents = 1\n", "agents = 1\nbake = 1000\n", "stage[0].most: not above bake"),
-                     ('agents = "all"', 'agents = "all"\nleats = 3', "unknown field `leats`"),
-                     ('"c.json"', '"d.json"', "d.json: No such file"), ('config = "c.json"\n', "", "`config`"))
+            cases = (
+                ("", "", ""),
+                ("127.0.0.1:2", "127.0.0.1:1", "agent.keeper: one is there twice"),
+                ('name = "2"', 'name = "1"', "new.name: the same as old.name"),
+                ('["two"]', '["one"]', "new: the same command and configuration as old"),
+                ('"all"', '"10 %"', "stage: not growing"),
+                ('"all"', '"most"', "stage[1].agents: no number"),
+                ("agents = 1\n", "agents = 0\n", "stage[0].agents: not above 0"),
+                ("agents = 1\n", "agents = 1\nbake = 1000\n", "stage[0].most: not above bake"),
+                ('agents = "all"', 'agents = "all"\nleats = 3', "unknown field `leats`"),
+                ('"c.json"', '"d.json"', "d.json: No such file"),
+                ('config = "c.json"\n', "", "`config`"),
+            )
             for old, new, says in cases:
                 with self.subTest(says=says):
                     path = folder / "p.toml"
--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -25,11 +25,24 @@
         self.addAsyncCleanup(self.callers.stop)
         return fleet
 
-    def plan(self, fleet: Fleet, *command: str, bake: float = 1.5, sizes: tuple[Any, ...] = (1, "all"),
-             name: str = "plan.toml", **keys: Any) -> str:
+    def plan(
+        self,
+        fleet: Fleet,
+        *command: str,
+        bake: float = 1.5,
+        sizes: tuple[Any, ...] = (1, "all"),
+        name: str = "plan.toml",
+        **keys: Any,
+    ) -> str:
         stages = [{"agents": size, "bake": bake, "most": 40.0} for size in sizes]
-        return str(fleet.plan(fleet.revision("new", bad(*command)), stages, name=name,
-                              **({"settle": 0.5, "silence": 5.0, "surge": 2} | keys)))
+        return str(
+            fleet.plan(
+                fleet.revision("new", bad(*command)),
+                stages,
+                name=name,
+                **({"settle": 0.5, "silence": 5.0, "surge": 2} | keys),
+            )
+        )
 
     def reason(self, fleet: Fleet, state: str = "state") -> str:
         return str(next((one["reason"] for one in fleet.events(state, "rollout_back")), ""))
@@ -84,9 +97,11 @@
 
     async def test_a_version_that_does_not_come_up_or_crashes_later_is_taken_back(self) -> None:
         fleet = await self.fleet(CRASH_AFTER="3.5")
-        ways = ((("crash",), "a0: ended before it served: exit code 7"),
-                (("unreadable", "a2"), "a2: ended before it served: exit code 2"),
-                (("crash-later",), "a0: ended by itself 1 times"))
+        ways = (
+            (("crash",), "a0: ended before it served: exit code 7"),
+            (("unreadable", "a2"), "a2: ended before it served: exit code 2"),
+            (("crash-later",), "a0: ended by itself 1 times"),
+        )
         for way, says in ways:
             with self.subTest(way=way):
                 plan = self.plan(fleet, *way, bake=2.0, name=f"{way[0]}.toml", settle=2.0, crashes=0, **SURE)
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -3,7 +3,7 @@
 import math
 
 from seamlb import api
-from seamlb.control import Controller
+from seamlb.policy.controller import Controller
 from tests.mechanism import takes, wait
 from tests.support import cold_allowance, demand, ended, entry, listed, sent_to, settings
 
@@ -15,7 +15,7 @@
     share = 0
     for call in range(10, 210):
         now = call * 240.0
-        controller.cores[1].idle, controller.cores[1].told = 0.0, now
+        controller.node.fleet.servers[1].idle, controller.node.fleet.servers[1].told = 0.0, now
         takes(controller, 3.0, now)  # room for spill
         sent = sent_to(controller.handle(now, demand(call, dest=1)))
         delay = 200.0 if sent[0] == 2 else 1.0
@@ -27,7 +27,7 @@
 def test_spill_onto_a_server_of_another_first_choice_is_budgeted() -> None:
     controller = Controller(settings(), 5)
     listed(controller, 0.0, 1, 2)
-    controller.cores[1].entry = entry(1, api.Availability.DRAINING)
+    controller.node.fleet.servers[1].entry = entry(1, api.Availability.DRAINING)
     sent = []
     for call in range(1, 2001):
         now = 1000.0 + call * 5.0
@@ -50,14 +50,14 @@
     wait(controller, 400.0, 3100.0)
     for call in (1, 2):
         controller.handle(3100.0, api.Ended(call, 0, 1, api.Status.TIMEOUT, True, 3000.0))
-    controller.cores[1].wait.put(3200.0, 0.0)
+    controller.node.fleet.servers[1].wait.put(3200.0, 0.0)
     assert sent_to(controller.handle(3200.0, demand(4))) == []  # still nothing heard
     wait(controller, 3200.0, 5400.0)
-    controller.cores[1].level = controller.cores[1].depth = 0
+    controller.node.fleet.servers[1].level = controller.node.fleet.servers[1].depth = 0
     assert sent_to(controller.handle(5400.0, demand(5))) == [1]  # one trial
     assert sent_to(controller.handle(5401.0, demand(6))) == []
     controller.handle(5420.0, api.Stands(5, 0, 1, 20.0))
-    controller.cores[1].tokens = 2.0
+    controller.node.fleet.servers[1].tokens = 2.0
     assert sent_to(controller.handle(5430.0, demand(7))) == [1]
 
 
@@ -65,7 +65,7 @@
     # One answer lost in a desk's reply made its set-up's age the desk's delay: level 2, all but floors refused.
     controller = Controller(settings(), 5)
     listed(controller, 0.0, 1, 2)
-    core = controller.cores[1]
+    core = controller.node.fleet.servers[1]
     assert sent_to(controller.handle(100.0, demand(1))) == [1]
     actions: list[api.Action] = []
     for call in range(2, 5):
@@ -73,7 +73,7 @@
         assert sent_to(controller.handle(sent, demand(call))) == [1]
         actions += controller.handle(sent + 20.0, api.Stands(call, 0, 1, 20.0))
     assert [one for one in actions if isinstance(one, api.Withdraw)] == [api.Withdraw(1, 0)]
-    assert core.x(controller.awake) <= 20.0
+    assert core.delay(controller.node.clock.awake) <= 20.0
     controller.handle(430.0, api.Ended(1, 0, 1, api.Status.TIMEOUT, False, 330.0))
     assert core.level == 0
     assert core.lost < core.heard
@@ -87,22 +87,22 @@
     listed(controller, 0.0, 1, 2)
     for server, lines in ((1, 30.0), (2, 90.0)):
         controller.handle(1.0, api.Sampled(server, 0, 0.0, (lines, lines, -1.0)))
-    assert controller.lines == 120.0
+    assert controller.node.fleet.lines == 120.0
     controller.handle(2.0, api.ListChange(api.Scope.DELTA, (entry(2, api.Availability.DRAINING),)))
-    assert controller.lines == 120.0  # what it carried is not yet another's
+    assert controller.node.fleet.lines == 120.0  # what it carried is not yet another's
     controller.handle(3.0, api.ListChange(api.Scope.DELTA, (entry(3, since=2.5),)))
     controller.handle(3.0, api.Sampled(3, 0, 0.0, (90.0, 90.0, -1.0)))
-    assert controller.lines == 120.0
+    assert controller.node.fleet.lines == 120.0
     controller.handle(4.0, api.ListChange(api.Scope.DELTA, (entry(2, api.Availability.GONE),)))
-    assert controller.lines == 120.0
+    assert controller.node.fleet.lines == 120.0
     controller.handle(5.0, api.ListChange(api.Scope.DELTA, (entry(1, api.Availability.GONE),)))
-    assert controller.lines == 90.0
+    assert controller.node.fleet.lines == 90.0
 
 
 def test_a_server_heard_again_after_long_silence_counts_as_cold() -> None:
     controller = Controller(settings(), 5)
     listed(controller, 0.0, 1)
-    core = controller.cores[1]
+    core = controller.node.fleet.servers[1]
     controller.handle(100.0, demand(1))
     controller.handle(120.0, api.Stands(1, 0, 1, 20.0))
     controller.handle(200.0, demand(2, grace=8000.0))
@@ -164,14 +164,14 @@
         assert (sent_to(controller.handle(now + 1.0, ended(call, 1, fails))) == [1]) == (call > 3), call
         controller.handle(now + 2.0, api.HungUp(call))
     controller.handle(200.0, api.Sampled(2, 0, 0.0, (100.0, 100.0, -1.0)))
-    controller.cores[2].tokens = 2.0
+    controller.node.fleet.servers[2].tokens = 2.0
     assert sent_to(controller.handle(201.0, demand(99))) == [1]
     went = [sent_to(controller.handle(202.0 + leg, ended(99, 1, fails, leg))) for leg in range(3)]
     assert went == [[1], [1], [2]]
     for call in range(100, 120):
         assert sent_to(controller.handle(300.0, demand(call, kind=1))) == [1]
         controller.handle(301.0, api.Stands(call, 0, 1, 1.0))
-    assert controller.cores[1].faults < 0.1
+    assert controller.node.fleet.servers[1].faults < 0.1
 
 
 def test_further_attempts_of_all_nodes_together_do_not_jam_a_small_server() -> None:
@@ -195,7 +195,8 @@
     # One caller with more than its part of the traffic made most of it "over share": with half a root a rank,
     # 17 of 50 lines were kept from it and calls were refused at a desk two thirds busy.
     raw = settings(
-        Tenants=[{"AllowancePerS": 0.001, "Name": "t", "Share": 1.0}], OverShareWorth=0.05,
+        Tenants=[{"AllowancePerS": 0.001, "Name": "t", "Share": 1.0}],
+        OverShareWorth=0.05,
         Report={"Fields": ["idle", "circuits"], "Source": "answers"},
     )
     controller = Controller(raw, 1)
@@ -204,4 +205,4 @@
     for call in range(2, 10):
         actions = controller.handle(1.0 + call, demand(call, kind=0))
         assert sent_to(actions) == [1], call
-    assert controller.ranks[0, 1, 0] == len(controller.floor_ratio) - 1
+    assert controller.node.ranking.ranks[0, 1, 0] == len(controller.node.ranking.floor_ratios) - 1
--- a/tests/test_rule_budgets.py
+++ b/tests/test_rule_budgets.py
@@ -7,7 +7,7 @@
 
 from seamlb import api
 from seamlb.api import Availability, Scope
-from seamlb.control import Controller
+from seamlb.policy.controller import Controller
 from tests.support import cold_allowance, demand, entry, listed, sent_to
 from tests.support import settings as make_settings
 
@@ -26,7 +26,7 @@
         now, call = now + 1.0 / rate, call + 1
         assert sent_to(controller.handle(now, demand(call))) == [1]
         controller.handle(now, api.Stands(call, 0, 1, 30.0))
-    seen = controller._part(now, controller.cores[1])
+    seen = controller.node.answer_rate(now, controller.node.fleet.servers[1])
     began = now
     server = 1 if restarted else 2
     scope = Scope.DELTA if restarted else Scope.FULL
@@ -37,7 +37,7 @@
         if sent_to(controller.handle(now, demand(call, dest=server))):
             sent.append(now)
             controller.handle(now, api.Stands(call, 0, server, 30.0))
-    part = max(seen, controller._part(now, controller.cores[server]))
+    part = max(seen, controller.node.answer_rate(now, controller.node.fleet.servers[server]))
     for start in sent:
         count = sum(start <= at < start + made.contract.fall for at in sent)
         # Would all nodes send as much in the same window, the server would still not fall.
@@ -48,7 +48,7 @@
 def test_a_draining_or_omitted_server_gets_nothing_in_the_same_breath() -> None:
     controller = Controller(make_settings(), 1)
     listed(controller, 0.0, 1, 2)
-    controller.cores[2].tokens = 1.0
+    controller.node.fleet.servers[2].tokens = 1.0
     controller.handle(1.0, api.ListChange(Scope.DELTA, (entry(1, Availability.DRAINING),)))
     assert sent_to(controller.handle(1.0, demand(1, dest=1))) == [2]
     controller.handle(2.0, api.ListChange(Scope.FULL, ()))
