--- a/tests/test_rule_language.py
+++ b/tests/test_rule_language.py
@@ -23,45 +23,57 @@
 HEAD = "plugin p version 1\n"
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ("", "r:1:1: the file ends too soon"),
-    ("plugin p", "r:1:1: the file ends too soon (expected version)"),
-    ("plugin P version 1", "r:1:8: 'P' can't be read"),
-    (HEAD + "rule x on admit when $ then refuse", "r:2:22: '$' can't be read"),
-    (HEAD + 'rule x on admit when office == "a then refuse', "r:2:32"),
-    (HEAD + "rule x on admit then refuse refuse", "r:2:29: 'refuse' can't stand here"),
-    (HEAD + "rule x on admit then refuse\nrule x on admit then spare", "r:3:1: rule x is there twice"),
-    (HEAD + "rule x on admitt then refuse", "unknown point 'admitt' (did you mean admit?)"),
-    (HEAD + 'rule x on admit when ofice == "a" then refuse', "unknown fact 'ofice' (did you mean office?)"),
-    (HEAD + "rule x on admit when calls > 3 then refuse", "unknown name 'calls'"),
-    (HEAD + "rule x on admit then precedence", "precedence can't be done on admit"),
-    (HEAD + "rule x on tick when office == \"a\" then alarm \"b\"", "office is not known on tick"),
-    (HEAD + 'rule x on admit when result == "cut" then refuse', "result is not known on admit"),
-    (HEAD + 'rule x on observe when result == "cutt" then alarm "b"', "did you mean cut?"),
-    (HEAD + "rule x on admit when patience > 3 then refuse", "a time is compared with a number (units must agree)"),
-    (HEAD + "rule x on admit when patience + 3 > 3 s then refuse", "a time and a number can't be added"),
-    (HEAD + "rule x on admit when patience * 3 s > 3 s then refuse", "has no meaning here"),
-    (HEAD + "rule x on admit when hour then refuse", "a condition must be true or false, this is a number"),
-    (HEAD + "rule x on admit when hour > 24 then refuse", "hour is from 0 to 23, never 24"),
-    (HEAD + "rule x on admit when hour / 0 > 1 then refuse", "a division by nought"),
-    (HEAD + "rule x on admit when office then refuse", "office is a text"),
-    (HEAD + 'rule x on admit when office < "a" then refuse', "texts can't be compared by <"),
-    (HEAD + 'rule x on admit when hour == "a" then refuse', "a text is compared with a fact that is none"),
-    (HEAD + "rule x on admit when true < false then refuse", "truths can't be compared by <"),
-    (HEAD + "rule x on admit when true and false then refuse", "rule x can't be reached (its condition never holds)"),
-    (HEAD + "rule x on admit then stop\nrule y on admit then refuse", "rule y can't be reached (rule x always stops"),
-    (HEAD + "counter c over 3", "counter c is over a time (from 1 s to 24 h)"),
-    (HEAD + "counter c of hour over 3 s", "unknown fact to hold it by 'hour'"),
-    (HEAD + "keep k = 1\nkeep k = 2", "k is there already"),
-    (HEAD + "keep hour = 1", "hour is there already"),
-    (HEAD + "keep k = 1 s\nrule x on tick then set k to 3", "k holds a time, this is a number"),
-    (HEAD + "keep k = 1\nrule x on tick then count k", "unknown counter 'k'"),
-    (HEAD + 'table t of office default 0 { "a" = 1 "a" = 2 }', "table t has 'a' twice"),
-    (HEAD + 'table t of office default 0 { "a" = 1 s }', "table t mixes units"),
-    (HEAD + "rule x on admit when " + "not " * 70 + "true then refuse", "nested too deeply"),
-    (HEAD + 'table t of office default 0 {\n  "a" = 1\n  "b" 2 }', "r:4:3: no row of a table"),
-    (HEAD + 'table t of office default 0 { "a" = 1', "r:2:29"),
-])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("", "r:1:1: the file ends too soon"),
+        ("plugin p", "r:1:1: the file ends too soon (expected version)"),
+        ("plugin P version 1", "r:1:8: 'P' can't be read"),
+        (HEAD + "rule x on admit when $ then refuse", "r:2:22: '$' can't be read"),
+        (HEAD + 'rule x on admit when office == "a then refuse', "r:2:32"),
+        (HEAD + "rule x on admit then refuse refuse", "r:2:29: 'refuse' can't stand here"),
+        (HEAD + "rule x on admit then refuse\nrule x on admit then spare", "r:3:1: rule x is there twice"),
+        (HEAD + "rule x on admitt then refuse", "unknown point 'admitt' (did you mean admit?)"),
+        (HEAD + 'rule x on admit when ofice == "a" then refuse', "unknown fact 'ofice' (did you mean office?)"),
+        (HEAD + "rule x on admit when calls > 3 then refuse", "unknown name 'calls'"),
+        (HEAD + "rule x on admit then precedence", "precedence can't be done on admit"),
+        (HEAD + 'rule x on tick when office == "a" then alarm "b"', "office is not known on tick"),
+        (HEAD + 'rule x on admit when result == "cut" then refuse', "result is not known on admit"),
+        (HEAD + 'rule x on observe when result == "cutt" then alarm "b"', "did you mean cut?"),
+        (
+            HEAD + "rule x on admit when patience > 3 then refuse",
+            "a time is compared with a number (units must agree)",
+        ),
+        (HEAD + "rule x on admit when patience + 3 > 3 s then refuse", "a time and a number can't be added"),
+        (HEAD + "rule x on admit when patience * 3 s > 3 s then refuse", "has no meaning here"),
+        (HEAD + "rule x on admit when hour then refuse", "a condition must be true or false, this is a number"),
+        (HEAD + "rule x on admit when hour > 24 then refuse", "hour is from 0 to 23, never 24"),
+        (HEAD + "rule x on admit when hour / 0 > 1 then refuse", "a division by nought"),
+        (HEAD + "rule x on admit when office then refuse", "office is a text"),
+        (HEAD + 'rule x on admit when office < "a" then refuse', "texts can't be compared by <"),
+        (HEAD + 'rule x on admit when hour == "a" then refuse', "a text is compared with a fact that is none"),
+        (HEAD + "rule x on admit when true < false then refuse", "truths can't be compared by <"),
+        (
+            HEAD + "rule x on admit when true and false then refuse",
+            "rule x can't be reached (its condition never holds)",
+        ),
+        (
+            HEAD + "rule x on admit then stop\nrule y on admit then refuse",
+            "rule y can't be reached (rule x always stops",
+        ),
+        (HEAD + "counter c over 3", "counter c is over a time (from 1 s to 24 h)"),
+        (HEAD + "counter c of hour over 3 s", "unknown fact to hold it by 'hour'"),
+        (HEAD + "keep k = 1\nkeep k = 2", "k is there already"),
+        (HEAD + "keep hour = 1", "hour is there already"),
+        (HEAD + "keep k = 1 s\nrule x on tick then set k to 3", "k holds a time, this is a number"),
+        (HEAD + "keep k = 1\nrule x on tick then count k", "unknown counter 'k'"),
+        (HEAD + 'table t of office default 0 { "a" = 1 "a" = 2 }', "table t has 'a' twice"),
+        (HEAD + 'table t of office default 0 { "a" = 1 s }', "table t mixes units"),
+        (HEAD + "rule x on admit when " + "not " * 70 + "true then refuse", "nested too deeply"),
+        (HEAD + 'table t of office default 0 {\n  "a" = 1\n  "b" 2 }', "r:4:3: no row of a table"),
+        (HEAD + 'table t of office default 0 { "a" = 1', "r:2:29"),
+    ],
+)
 def test_what_is_wrong_is_one_line_with_its_place(text: str, says: str) -> None:
     with pytest.raises(RuleError) as caught:
         compile_text(text, "r")
@@ -84,12 +96,26 @@
 def condition(rng: random.Random, depth: int) -> str:
     """A random truth."""
     if not depth:
-        return rng.choice(('class == "a"', 'office != "b"', 'number starts with "36"', "flag", "true",
-                           f"hour {rng.choice(('<', '>=', '=='))} {rng.randrange(24)}"))
+        return rng.choice(
+            (
+                'class == "a"',
+                'office != "b"',
+                'number starts with "36"',
+                "flag",
+                "true",
+                f"hour {rng.choice(('<', '>=', '=='))} {rng.randrange(24)}",
+            )
+        )
     one, other = condition(rng, depth - 1), condition(rng, depth - 1)
-    return rng.choice((
-        f"({one} and {other})", f"({one} or {other} or {one})", f"not {one}", f"not ({other})",
-        f"({value(rng, depth - 1)} {rng.choice(('<', '<=', '==', '!=', '>', '>='))} {value(rng, depth - 1)})"))
+    return rng.choice(
+        (
+            f"({one} and {other})",
+            f"({one} or {other} or {one})",
+            f"not {one}",
+            f"not ({other})",
+            f"({value(rng, depth - 1)} {rng.choice(('<', '<=', '==', '!=', '>', '>='))} {value(rng, depth - 1)})",
+        )
+    )
 
 
 def value(rng: random.Random, depth: int) -> str:
@@ -97,13 +123,19 @@
     if not depth:
         return rng.choice(("hour", "desks", "kept", "seen", "stage", "2.5", "0", "7", "5%"))
     one, other = value(rng, depth - 1), value(rng, depth - 1)
-    return rng.choice((f"({one} + {other})", f"({one} - {other})", f"{one} * {other}", f"({one}) / (1 + {other})",
-                       f"-({one})"))
+    return rng.choice(
+        (f"({one} + {other})", f"({one} - {other})", f"{one} * {other}", f"({one}) / (1 + {other})", f"-({one})")
+    )
 
 
 def rules(rng: random.Random) -> str:
-    lines = [HEAD, "state flag of office", "keep kept = 2", "counter seen of office over 10 s",
-             'table stage of number default 1 { "36" = 4 }']
+    lines = [
+        HEAD,
+        "state flag of office",
+        "keep kept = 2",
+        "counter seen of office over 10 s",
+        'table stage of number default 1 { "36" = 4 }',
+    ]
     for n in range(rng.randint(1, 5)):
         then = rng.choice(("refuse", "spare", "count seen", f"set kept to {value(rng, 2)}", "refuse, stop"))
         lines.append(f"rule r{n} on admit when {condition(rng, rng.randint(0, 4))} then {then}")
@@ -132,13 +164,12 @@
 
 def test_nothing_is_answered_on_a_point_without_rules() -> None:
     for engine in both(compile_text(HEAD + "rule x on admit then refuse")):
-        assert [engine.run(point, [], 1000)[0] for point in range(len(POINTS))] == [
-            [], [(0, 1.0)], [], [], [], []]
+        assert [engine.run(point, [], 1000)[0] for point in range(len(POINTS))] == [[], [(0, 1.0)], [], [], [], []]
 
 
 @seed(7)
 @settings(max_examples=300, deadline=None, database=None)
-@given(st.text(alphabet=st.sampled_from(list("plugin rulewhen<>=()\"aon123 \n#{}%-+*/sm")), max_size=200))
+@given(st.text(alphabet=st.sampled_from(list('plugin rulewhen<>=()"aon123 \n#{}%-+*/sm')), max_size=200))
 def test_random_text_raises_nothing_but_its_own_error(text: str) -> None:
     try:
         compile_text(HEAD + text)
@@ -154,10 +185,11 @@
     data = bytearray(compile_program(compile_text(EXAMPLES[number % len(EXAMPLES)].read_text())))
     for _ in range(rng.randint(1, 4)):
         if rng.random() < 0.2:
-            del data[rng.randrange(8, len(data)):]
+            del data[rng.randrange(8, len(data)) :]
         place = rng.randrange(8, max(9, len(data)))
-        data[place:place + rng.randint(0, 2)] = rng.randbytes(rng.randint(0, 3))
+        data[place : place + rng.randint(0, 2)] = rng.randbytes(rng.randint(0, 3))
     from seamlb.plugins.abi import Fault
+
     try:
         manifest = read_manifest(custom_section(bytes(data)))
         engine = WasmEngine(bytes(data), len(manifest.inputs))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 
 from seamlb import api
 from seamlb.api import Availability, Scope, Status
-from seamlb.control import Controller
+from seamlb.policy.controller import Controller
 from tests.support import demand, ended, entry
 from tests.support import settings as make_settings
 
@@ -140,8 +140,15 @@
 )
 CLASSES = [
     {"Deadline": 9000.0, "Effect": "free", "Group": "all", "Name": "a", "OnTime": 2000.0, "Worth": 1.0},
-    {"Deadline": 9000.0, "Effect": "guarded", "Group": "cell", "Name": "b", "OnTime": 1000.0, "Worth": 3.0,
-     "Window": 900.0},
+    {
+        "Deadline": 9000.0,
+        "Effect": "guarded",
+        "Group": "cell",
+        "Name": "b",
+        "OnTime": 1000.0,
+        "Worth": 3.0,
+        "Window": 900.0,
+    },
     {"Deadline": 9000.0, "Effect": "single_shot", "Name": "c", "OnTime": 1000.0, "Worth": 2.0},
 ]
 VERSIONS = [  # of the settings: classes dropped, changed, added and back under their names; other attempts
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,9 +8,9 @@
 
 from seamlb import api, config
 from seamlb.api import Status
-from seamlb.control import Controller
 from seamlb.daemon import Daemon
 from seamlb.extras import Plugins
+from seamlb.policy.controller import Controller
 from tests.loopback import ScriptedDesk, Story, invite, silent
 from tests.support import RAW, demand, ended, listed, sent_to, settings
 
@@ -54,14 +54,14 @@
     controller = Controller(first, 1)
     for call in range(3):
         controller.handle(0.0, api.Demand(call, 1, 1, 3000.0, 1, key=77))  # no server: refused, and y's share is used
-    assert controller.share_buckets[1].level < 1.0 and (77, 1, 1) in controller.turned
+    assert controller.callers.shares[1].level < 1.0 and (77, 1, 1) in controller.callers.turned
     second = version(A, Tenants=offices[:1], OverShareWorth=0.1).after(first)
     third = version(A, C, Tenants=[offices[0], offices[1] | {"Name": "z"}], OverShareWorth=0.1).after(second)
     assert (third.kinds["c"], third.tenants["z"]) == (1, 1)
     for made in (second, third):
         controller.handle(1.0, api.Retuned(made))
     controller.handle(2.0, api.Demand(9, 1, 1, 3000.0, 1, key=77))
-    assert controller.turned[77, 1, 1] == (2.0, 2.0, 0), "a first try of its own, within its own share"
+    assert controller.callers.turned[77, 1, 1] == (2.0, 2.0, 0), "a first try of its own, within its own share"
 
 
 def test_what_is_for_a_start_only_stays() -> None:
@@ -75,7 +75,7 @@
     old = version(A, B, Limits=limits)
     controller = Controller(old, 1)
     listed(controller, 0.0, 1, 2, 3)
-    controller.cores[2].tokens = controller.cores[3].tokens = 2.0
+    controller.node.fleet.servers[2].tokens = controller.node.fleet.servers[3].tokens = 2.0
     assert sent_to(controller.handle(0.0, demand(1))) == [1]
     new = version(A | {"Effect": "single_shot"}, C, Limits=limits | {"AttemptsCap": 1}).after(old)
     assert controller.handle(1.0, api.Retuned(new)) == []
@@ -94,9 +94,12 @@
     controller.handle(0.0, demand(2, kind=1))
     new = version(A, C).after(old)
     controller.handle(1.0, api.Retuned(new))
-    assert controller.ranks == {(1, 0, 0): 0, (2, 0, 0): 0, (0, 0, 0): 1} and len(controller.floor_ratio) == 2
+    assert (
+        controller.node.ranking.ranks == {(1, 0, 0): 0, (2, 0, 0): 0, (0, 0, 0): 1}
+        and len(controller.node.ranking.floor_ratios) == 2
+    )
     assert (controller.calls[1].rank, controller.calls[2].rank) == (1, 0)
-    assert list(controller.cores[1].pending) == [1, 2], "what is known of a server stays"
+    assert list(controller.node.fleet.servers[1].pending) == [1, 2], "what is known of a server stays"
     controller.handle(2.0, demand(3, kind=1))  # it was read before the change
     assert 3 in controller.calls
 
@@ -172,10 +175,14 @@
         whole = json.dumps(self.good)
         lacking = {key: value for key, value in RAW.items() if key != "Report"}
         for told, says in (
-            ("", "not JSON"), (whole[: len(whole) // 2], "not JSON"), ({}, "'settings' missing"),
+            ("", "not JSON"),
+            (whole[: len(whole) // 2], "not JSON"),
+            ({}, "'settings' missing"),
             (self.good | {"settings": lacking}, "settings.Report: missing, and the configuration in force has it"),
-            (self.good | {"settings": RAW | {"Classes": [A, {k: v for k, v in C.items() if k != "Effect"}]}},
-             "settings.Classes[1].Effect: missing"),
+            (
+                self.good | {"settings": RAW | {"Classes": [A, {k: v for k, v in C.items() if k != "Effect"}]}},
+                "settings.Classes[1].Effect: missing",
+            ),
             (self.good | {"settings": RAW | {"Classes": [A | {"Deadline": 0}, B]}}, "Classes[0].Deadline: impo"),
             (self.good | {"settings": RAW | {"Classes": [A, A]}}, "'a' is there twice"),
             (self.good | {"settings": RAW | {"Limits": RAW["Limits"] | {"AttemptsCap": 0}}}, "AttemptsCap: impo"),
@@ -193,4 +200,4 @@
         self.write(self.good | {"settings": RAW | {"Instances": 9, "Limits": RAW["Limits"] | {"AttemptsCap": 2}}})
         daemon.reload()
         self.assertEqual(self.events("reloaded")[-1]["waits_for_restart"], ["settings.instances"])
-        self.assertEqual(daemon.agent.module.set.limits.attempts_cap, 2)
+        self.assertEqual(daemon.agent.module.node.settings.limits.attempts_cap, 2)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -26,7 +26,8 @@
             python.write_text("#!/bin/sh\nkill -HUP $$\necho alive\n")
             python.chmod(python.stat().st_mode | stat.S_IXUSR)
             told = subprocess.run(
-                ["sh", "-c", deploy["run"]], cwd=folder, capture_output=True, text=True, check=False)
+                ["sh", "-c", deploy["run"]], cwd=folder, capture_output=True, text=True, check=False
+            )
         self.assertEqual((told.returncode, told.stdout), (0, "alive\n"))
 
 
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -173,9 +173,12 @@
         for transport in ("udp", "tcp"):
             caller = await self.sip_caller(daemon, transport)
             for status, message in (
-                (405, caller.build("PUBLISH")), (420, caller.build("OPTIONS", ("Require", "rel9"))),
-                (483, self.hops(caller)), (400, caller.build("INVITE", ("X-Cos", "nobody"))),
-                (400, caller.build("INVITE", ("X-Timer-Ms", "soon"))), (481, caller.build("BYE")),
+                (405, caller.build("PUBLISH")),
+                (420, caller.build("OPTIONS", ("Require", "rel9"))),
+                (483, self.hops(caller)),
+                (400, caller.build("INVITE", ("X-Cos", "nobody"))),
+                (400, caller.build("INVITE", ("X-Timer-Ms", "soon"))),
+                (481, caller.build("BYE")),
                 (200, caller.build("OPTIONS")),
             ):
                 caller.renew()
@@ -185,8 +188,10 @@
                 if status in (405, 420):
                     self.assertTrue(answer.get("allow") or answer.get("unsupported") == "rel9")
             via = f"SIP/2.0/UDP {caller.address};rport"
-            caller.peer.send(f"INVITE sip:x SIP/2.0\r\nVia: {via}\r\nCall-ID: x\r\nCSeq: 1 BYE\r\n"
-                             "Content-Length: 0\r\n\r\n".encode())
+            caller.peer.send(
+                f"INVITE sip:x SIP/2.0\r\nVia: {via}\r\nCall-ID: x\r\nCSeq: 1 BYE\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
             self.assertEqual((await caller.peer.until(400)).status, 400)
         self.assertEqual(daemon.agent.taken, 0)
         self.assertEqual(self.events("fault"), [])
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -30,7 +30,7 @@
     record.write(place, b"what was promised")
     whole = place.read_bytes()
     for at in range(len(whole)):
-        place.write_bytes(whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1:])
+        place.write_bytes(whole[:at] + bytes([whole[at] ^ 1]) + whole[at + 1 :])
         with pytest.raises(record.RecordError):
             record.read(place)
 
@@ -57,8 +57,15 @@
 def test_a_member_tells_no_vote_that_its_disk_may_not_have(tmp_path: Path, fails: str) -> None:
     first, place, files = founding(3, 3), tmp_path / "vote", LyingFiles()
     record.write(place, Kept(first, first).encode())
-    member = Member("a000", 1, LEASE, Kept(first, first), -2 * LEASE,
-                    lambda body: record.write(place, body, files), random.Random(1))
+    member = Member(
+        "a000",
+        1,
+        LEASE,
+        Kept(first, first),
+        -2 * LEASE,
+        lambda body: record.write(place, body, files),
+        random.Random(1),
+    )
     member.cleared = dict.fromkeys(first.council, 1)
     why, out = member.propose(0.0, first.next(limit=20))
     assert why == "" and len(out) == 3
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -50,18 +50,33 @@
 
 def play(now: Callable[[], float], deaf: bool = False) -> tuple[list[tuple[str, float]], list[float]]:
     """One call with a patience of 2 s from the clock's start on; `deaf`: the module loses its alarms."""
+
     async def story() -> tuple[list[tuple[str, float]], list[float]]:
         servers, caller = Servers(), Caller()
         agent = Agent(settings(Instances=1), 1, clock=now)
         agent.desks = servers
         agent.list_changed(api.Scope.CACHED, [Desk(f"d{place}", "x:1", 0, place, 1, 0.0) for place in (0, 1)])
-        for core in agent.module.cores.values():
+        for core in agent.module.node.fleet.servers.values():
             core.tokens = 2.0  # enough for a second choice, whose budget begins at random
         if deaf:
             agent._alarm = lambda token, at: None  # type: ignore[method-assign]
-        agent.take(Request(
-            ident="a" * 16, call_class=0, class_name="a", tenant=0, tenant_name="", number="1234",
-            patience_ms=2000.0, destination=0, slots=1.0, via=-1, cut_before=False, description=b""), caller)
+        agent.take(
+            Request(
+                ident="a" * 16,
+                call_class=0,
+                class_name="a",
+                tenant=0,
+                tenant_name="",
+                number="1234",
+                patience_ms=2000.0,
+                destination=0,
+                slots=1.0,
+                via=-1,
+                cut_before=False,
+                description=b"",
+            ),
+            caller,
+        )
         await asyncio.sleep(3.0)
         await asyncio.gather(*(asyncio.wait([task], timeout=0.1) for task in agent.tasks))
         for task in agent.tasks:
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -20,9 +20,19 @@
 
 
 def request(method: str = "INVITE", branch: str = "z9hG4bK1", to: str = "<sip:b@net>") -> Message:
-    return Message(method, "sip:b@net", headers=[
-        ("Via", f"SIP/2.0/UDP 127.0.0.1:5060;branch={branch}"), ("From", "<sip:a@net>;tag=a"), ("To", to),
-        ("Call-ID", "c"), ("CSeq", f"1 {method}"), ("Max-Forwards", "70"), ("Contact", "<sip:a@127.0.0.1:5060>")])
+    return Message(
+        method,
+        "sip:b@net",
+        headers=[
+            ("Via", f"SIP/2.0/UDP 127.0.0.1:5060;branch={branch}"),
+            ("From", "<sip:a@net>;tag=a"),
+            ("To", to),
+            ("Call-ID", "c"),
+            ("CSeq", f"1 {method}"),
+            ("Max-Forwards", "70"),
+            ("Contact", "<sip:a@127.0.0.1:5060>"),
+        ],
+    )
 
 
 def run(machine, until: float) -> list[tuple[float, str]]:
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -129,8 +129,11 @@
 class Overlays(unittest.TestCase):
     def test_the_module_is_told_of_a_zone_that_is_left_and_returned_to(self) -> None:
         overlay = Overlay(("x", "y"), 1, BEARS, 1.5)
-        desks = [Desk("a", "", 0, 0, Availability.READY, 0.0), Desk("b", "", 1, 1, Availability.READY, 0.0),
-                 Desk("c", "", 0, 0, Availability.DRAINING, 0.0)]
+        desks = [
+            Desk("a", "", 0, 0, Availability.READY, 0.0),
+            Desk("b", "", 1, 1, Availability.READY, 0.0),
+            Desk("c", "", 0, 0, Availability.DRAINING, 0.0),
+        ]
         self.assertEqual(overlay.listed(0.0, 1e9, desks, True), desks)
         overlay.force("x", "out")
         overlay.step(1.0, {}, 1)
--- a/tests/test_zones_daemon.py
+++ b/tests/test_zones_daemon.py
@@ -32,16 +32,19 @@
             (folder / "k").write_text(f'send = 1\n[keys]\n1 = "{"11" * 32}"\n')
             (folder / "k").chmod(0o600)
             for azs, table, says in (
-                    (["x", "y"], members + zones, ""), (["x"], members + zones, "fewer than two"),
-                    (["x", "y"], zones, "no table [members]"),
-                    (["x", "y"], members + "[zones]\n", "bears"),
-                    (["x", "y"], members + zones.replace("20", "0"), "zones.bears: not above 0"),
-                    (["x", "y"], members + zones + 'regions = ["x+w"]\n', "unknown zone 'w'"),
-                    (["x", "y"], members + zones + "out = 0.1\n", "not 1 to 3600"),
-                    (["x", "y"], members + zones + "bear = 1\n", "zones.bear: unknown key")):
+                (["x", "y"], members + zones, ""),
+                (["x"], members + zones, "fewer than two"),
+                (["x", "y"], zones, "no table [members]"),
+                (["x", "y"], members + "[zones]\n", "bears"),
+                (["x", "y"], members + zones.replace("20", "0"), "zones.bears: not above 0"),
+                (["x", "y"], members + zones + 'regions = ["x+w"]\n', "unknown zone 'w'"),
+                (["x", "y"], members + zones + "out = 0.1\n", "not 1 to 3600"),
+                (["x", "y"], members + zones + "bear = 1\n", "zones.bear: unknown key"),
+            ):
                 with self.subTest(says=says):
-                    (folder / "c.json").write_text(json.dumps({
-                        "settings": RAW | {"Azs": azs}, "listen": "127.0.0.1:0"}))
+                    (folder / "c.json").write_text(
+                        json.dumps({"settings": RAW | {"Azs": azs}, "listen": "127.0.0.1:0"})
+                    )
                     (folder / "p.toml").write_text(table)
                     check_files(self, folder, says)
 
@@ -54,8 +57,9 @@
         self.attempts: dict[str, int] = {}
         self.came: list[tuple[float, int, int]] = []  # when, zone, desk
         self.dead = -1
-        self.desks = [ScriptedDesk(self.script(n // DESKS, n), report="idle:500;circuits:500")
-                      for n in range(ZONES * DESKS)]
+        self.desks = [
+            ScriptedDesk(self.script(n // DESKS, n), report="idle:500;circuits:500") for n in range(ZONES * DESKS)
+        ]
         for desk in self.desks:
             await desk.start()
         self.injectors = [Injector(desk.address) for desk in self.desks[DESKS : 2 * DESKS]]  # a0's to zone z1
@@ -77,26 +81,56 @@
             self.came.append((asyncio.get_running_loop().time(), zone, number))
             if zone != self.dead:
                 await answer(peer, invite)
+
         return play
 
     async def start(self, number: int) -> None:
         addresses = [desk.address for desk in self.desks]
         if number == 0:
             addresses[DESKS : 2 * DESKS] = [one.address for one in self.injectors]
-        members = [{"id": f"d{n}", "host_port": at, "cell": n, "phase": "Ready", "up_since_ms": 0,
-                    "locality": f"z{n // DESKS}"} for n, at in enumerate(addresses)]
+        members = [
+            {
+                "id": f"d{n}",
+                "host_port": at,
+                "cell": n,
+                "phase": "Ready",
+                "up_since_ms": 0,
+                "locality": f"z{n // DESKS}",
+            }
+            for n, at in enumerate(addresses)
+        ]
         known = {"rev": 1, "notices": [{"rev": 1, "pool": {"complete": True, "members": members}}]}
-        (self.folder / f"{number}.json").write_text(json.dumps({
-            "settings": RAW | {"Instances": SIZE, "Azs": [f"z{n}" for n in range(ZONES)]}, "known": known,
-            "name": f"a{number}", "listen": f"{self.hosts[number]}:5060",
-            "management": f"{self.hosts[number]}:7001"}))
+        (self.folder / f"{number}.json").write_text(
+            json.dumps(
+                {
+                    "settings": RAW | {"Instances": SIZE, "Azs": [f"z{n}" for n in range(ZONES)]},
+                    "known": known,
+                    "name": f"a{number}",
+                    "listen": f"{self.hosts[number]}:5060",
+                    "management": f"{self.hosts[number]}:7001",
+                }
+            )
+        )
         (self.folder / f"{number}.toml").write_text(
             f'[members]\nudp = "{self.hosts[number]}:7946"\nkeys = "keys"\nseeds = ["{self.hosts[0]}:7946"]\n'
-            f"[zones]\nbears = {BEARS}\nout = 3\nramp = 4\n")
+            f"[zones]\nbears = {BEARS}\nout = 3\nramp = 4\n"
+        )
         with open(self.folder / f"{number}.log", "ab") as out:
-            self.processes.append(await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "seamlb", "serve", "--config", str(self.folder / f"{number}.json"),
-                "--plugins", str(self.folder / f"{number}.toml"), cwd=ROOT, stdout=out, stderr=out))
+            self.processes.append(
+                await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "seamlb",
+                    "serve",
+                    "--config",
+                    str(self.folder / f"{number}.json"),
+                    "--plugins",
+                    str(self.folder / f"{number}.toml"),
+                    cwd=ROOT,
+                    stdout=out,
+                    stderr=out,
+                )
+            )
 
     async def end(self) -> None:
         for one in self.processes:
@@ -154,5 +188,6 @@
         for words, code in ((["nowhere", "out"], 1), (["z2", "out"], 0)):
             done = await asyncio.to_thread(CliRunner().invoke, main, ["zones", "force", *at, *words])
             self.assertEqual(done.exit_code, code, done.output)
-        await self.until(lambda: any(one["zone"] == "z2" and one["why"] == "an operator"
-                                     for one in self.lines(2, "zone_out")))
+        await self.until(
+            lambda: any(one["zone"] == "z2" and one["why"] == "an operator" for one in self.lines(2, "zone_out"))
+        )
--- a/tests/zoned.py
+++ b/tests/zoned.py
@@ -22,15 +22,25 @@
 class ZonedFleet:
     """Agents that send to any desk that they are told is ready; no module decides here."""
 
-    def __init__(self, agents: int, rate: float = 6.0, zones: int = 3, desks: int = 4, seed: int = 1,
-                 loss: float = 0.0, alone: bool = False, regions: tuple[frozenset[int], ...] = ()) -> None:
+    def __init__(
+        self,
+        agents: int,
+        rate: float = 6.0,
+        zones: int = 3,
+        desks: int = 4,
+        seed: int = 1,
+        loss: float = 0.0,
+        alone: bool = False,
+        regions: tuple[frozenset[int], ...] = (),
+    ) -> None:
         self.rng = random.Random(seed)
         self.names = [f"i{n}" for n in range(agents)]
         self.net = Network(agents, seed=seed, loss=loss, wire=False)
         self.alone = alone  # the plain way: each agent on its own word
         self.rate = rate  # calls a second of each agent
-        self.desks = [Desk(f"d{z}.{n}", "", z, z, Availability.READY, 0.0)
-                      for z in range(zones) for n in range(desks)]
+        self.desks = [
+            Desk(f"d{z}.{n}", "", z, z, Availability.READY, 0.0) for z in range(zones) for n in range(desks)
+        ]
         labels = [f"z{n}" for n in range(zones)]
         self.overlays = {name: Overlay(labels, 1 if alone else agents, BEARS, STALL, regions) for name in self.names}
         self.shares = {name: Shares(agents) for name in self.names}
@@ -64,9 +74,15 @@
 
     def _agent(self, name: str) -> None:
         overlay, swim, now = self.overlays[name], self.net.of(name), self.now
-        others = {} if self.alone else {
-            other: Vote.decode(one.item.meta.decode()) for other, one in swim.members.items()
-            if other in swim.living()}
+        others = (
+            {}
+            if self.alone
+            else {
+                other: Vote.decode(one.item.meta.decode())
+                for other, one in swim.members.items()
+                if other in swim.living()
+            }
+        )
         living = swim.living()
         place = 0.0 if self.alone else living.index(name) / len(living)
         overlay.step(now, others, 1 if self.alone else self.shares[name].told(now, len(living)), place)
@@ -95,8 +111,9 @@
         self.overlays[name].sent(self.now, number, desk.ident)
         self._tell(name)
         how = "hangs" if (name, desk.zone) in self.cut else self.down.get(desk.zone, "")
-        after, status = {
-            "": (0.05, Status.OK), "dead": (0.5, Status.CONNECT_FAILED), "hangs": (6.0, Status.TIMEOUT)}[how]
+        after, status = {"": (0.05, Status.OK), "dead": (0.5, Status.CONNECT_FAILED), "hangs": (6.0, Status.TIMEOUT)}[
+            how
+        ]
         heapq.heappush(self.ends, (self.now + after, number, name, desk.zone, status))
         self.lost[desk.zone] += how != ""
         came = self.arrivals[desk.ident]
@@ -108,8 +125,11 @@
 
     def states(self, zone: int) -> set[State]:
         """In which the agents that live have it."""
-        return {self.overlays[name].zones.zones[zone].state for name in self.names
-                if self.net.address(name) in self.net.swims}
+        return {
+            self.overlays[name].zones.zones[zone].state
+            for name in self.names
+            if self.net.address(name) in self.net.swims
+        }
 
     def until(self, zone: int, state: State, most: float) -> float:
         """Seconds until all have it so; most if not."""
