--- a/benchmarks/exhaustive.py
+++ b/benchmarks/exhaustive.py
@@ -10,7 +10,7 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from seamlb.planning.check import check
-from seamlb.planning.solve import Infeasible, solve
+from seamlb.planning.solve import InfeasibleError, solve
 from tests.exhaustive import best, random_problem
 from tests.test_planning import key
 
@@ -23,7 +23,7 @@
     began = time.perf_counter()
     try:
         plan = solve(problem)
-    except Infeasible:
+    except InfeasibleError:
         plan = None
     solved = time.perf_counter() - began
     if plan is None or true is None:
--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -16,7 +16,7 @@
 from seamlb.planning.carry import carry
 from seamlb.planning.model import Objective, Plan
 from seamlb.planning.repair import Repair
-from seamlb.planning.solve import Stopped, solve
+from seamlb.planning.solve import OutOfTimeError, solve
 
 SIZES = [(7, 3, 4), (15, 3, 4), (30, 5, 4), (50, 5, 8), (100, 10, 4), (100, 10, 20), (200, 10, 20)]
 OUT = Path(__file__).resolve().parent.parent / "docs" / "results"
@@ -28,7 +28,7 @@
     try:
         plan = solve(made, limit)
         proven = f"{len(plan.proven)} of 5" if plan.status != "optimal" else "all"
-    except Stopped:
+    except OutOfTimeError:
         plan, proven = None, "no plan in time"
     solved = time.perf_counter() - began
     if plan is None:  # any placement shows the repair's time
--- a/seamlb/agree/charter.py
+++ b/seamlb/agree/charter.py
@@ -16,7 +16,7 @@
 COUNCILS = (1, 3, 5, 7)  # members; one is for a site that has one agent
 
 
-class WrongCharter(ValueError):
+class CharterError(ValueError):
     """A charter that can't be one, or can't follow the one before; one line with field and reason."""
 
 
@@ -42,15 +42,15 @@
     def __post_init__(self) -> None:
         for names, what in ((self.council, "council"), (self.agents, "agents")):
             if not names or list(names) != sorted(set(names)):
-                raise WrongCharter(f"{what}: not sorted names, each once")
+                raise CharterError(f"{what}: not sorted names, each once")
         if len(self.council) not in COUNCILS:
-            raise WrongCharter(f"council: {len(self.council)} members, not 1, 3, 5 or 7")
+            raise CharterError(f"council: {len(self.council)} members, not 1, 3, 5 or 7")
         for name, one in self.fields.items():
             if one.kind not in KINDS:
-                raise WrongCharter(f"{name}: unknown kind {one.kind!r}")
+                raise CharterError(f"{name}: unknown kind {one.kind!r}")
             relation = KINDS[one.kind]
             if why := relation.check(one.value) or relation.check(one.alone) or relation.alone(one.alone, one.value):
-                raise WrongCharter(f"{name}: {why}")
+                raise CharterError(f"{name}: {why}")
 
     @cached_property
     def body(self) -> bytes:
@@ -81,7 +81,7 @@
     ) -> Charter:
         """The charter that follows, with other values of fields that there are, another council or other agents."""
         if unknown := sorted(values.keys() - self.fields.keys()):
-            raise WrongCharter(f"{unknown[0]}: unknown field")
+            raise CharterError(f"{unknown[0]}: unknown field")
         fields = {name: Field(one.kind, values.get(name, one.value), one.alone) for name, one in self.fields.items()}
         return Charter(
             self.number + 1,
@@ -124,19 +124,19 @@
 
 
 def decode(body: bytes) -> Charter:
-    """A charter from its bytes; WrongCharter."""
+    """A charter from its bytes; CharterError."""
     try:
         table = orjson.loads(body)
         fields = {name: Field(*one) for name, one in table["fields"].items()}
         found = Charter(
             int(table["number"]), str(table["before"]), tuple(table["council"]), tuple(table["agents"]), fields
         )
-    except WrongCharter:
+    except CharterError:
         raise
     except (ValueError, TypeError, KeyError, AttributeError) as error:
-        raise WrongCharter(f"not a charter: {error}") from None
+        raise CharterError(f"not a charter: {error}") from None
     if found.body != body:
-        raise WrongCharter("not in its own form")
+        raise CharterError("not in its own form")
     return found
 
 
--- a/seamlb/agree/council.py
+++ b/seamlb/agree/council.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from seamlb.agree.charter import Charter, WrongCharter, decode
+from seamlb.agree.charter import Charter, CharterError, decode
 from seamlb.agree.kept import Kept
 from seamlb.agree.notes import DRIFT, NONE, Ballot, Kind, Note
 
@@ -165,7 +165,7 @@
             ]
         try:
             wrong = decode(note.body).follows(self.newest)
-        except WrongCharter as error:
+        except CharterError as error:
             wrong = str(error)
         if wrong:
             self.said.append(("council_refused", {"from": note.sender, "reason": wrong}))
@@ -252,7 +252,7 @@
             case Kind.CHOSEN:
                 try:
                     return self._choose(now, decode(note.body), decode(note.before))
-                except WrongCharter as error:
+                except CharterError as error:
                     self.said.append(("council_refused", {"from": note.sender, "reason": str(error)}))
         return []
 
--- a/seamlb/agree/frames.py
+++ b/seamlb/agree/frames.py
@@ -24,7 +24,7 @@
 HEAD = struct.Struct(">IB")
 
 
-class Broken(ValueError):
+class FrameError(ValueError):
     """A stream that can't be read on."""
 
 
@@ -73,12 +73,12 @@
         self.codec, self.buffer = codec, bytearray()
 
     def feed(self, data: bytes) -> Iterator[Note]:
-        """Notes that are whole now; Broken."""
+        """Notes that are whole now; FrameError."""
         self.buffer += data
         while len(self.buffer) >= HEAD.size:
             length, key = HEAD.unpack_from(self.buffer)
             if not 1 + MAC <= length <= LONGEST:
-                raise Broken(f"a frame of {length} bytes")
+                raise FrameError(f"a frame of {length} bytes")
             end = 4 + length
             if len(self.buffer) < end:
                 return
--- a/seamlb/agree/holder.py
+++ b/seamlb/agree/holder.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from seamlb.agree.charter import Charter, WrongCharter, alone, decode, guarded
+from seamlb.agree.charter import Charter, CharterError, alone, decode, guarded
 from seamlb.agree.notes import Kind, Note
 from seamlb.agree.relations import Value
 
@@ -102,7 +102,7 @@
         if note.kind == Kind.CHOSEN:
             try:
                 newest, before = decode(note.body), decode(note.before)
-            except WrongCharter:
+            except CharterError:
                 return []
             if newest.number <= self.newest.number:
                 return []
--- a/seamlb/agree/link.py
+++ b/seamlb/agree/link.py
@@ -15,12 +15,12 @@
 from seamlb import log
 from seamlb.agree.acting import Acting
 from seamlb.agree.council import Out
-from seamlb.agree.frames import Broken, Codec, Reader
+from seamlb.agree.frames import Codec, FrameError, Reader
 from seamlb.agree.notes import ANSWERED, ANSWERS, Note
 from seamlb.agree.seat import Said, Seat
 from seamlb.agree.table import Agreed
 from seamlb.net.connection import Connection
-from seamlb.net.dial import ConnectFailed, connect
+from seamlb.net.dial import ConnectError, connect
 from seamlb.net.listener import Listener
 from seamlb.net.reason import CloseReason
 
@@ -145,7 +145,7 @@
     async def _dial(self, to: str) -> None:
         try:
             connection = await connect(self.config.council[to], "agree", self.config.lease)
-        except ConnectFailed:
+        except ConnectError:
             await asyncio.sleep(AGAIN * self.config.lease)  # each try leaves a line in the log
             return
         finally:
@@ -170,7 +170,7 @@
                     messages += 1
                     self._heard(connection, note.sender)
                     self._received(note)
-            except Broken as error:
+            except FrameError as error:
                 log.event("malformed", kind="agree", peer=connection.peer, error=str(error))
                 return connection.close(CloseReason.MALFORMED)
             connection.took(messages, reader.partial)
--- a/seamlb/agree/seat.py
+++ b/seamlb/agree/seat.py
@@ -18,7 +18,7 @@
 
 import orjson
 
-from seamlb.agree.charter import Charter, WrongCharter
+from seamlb.agree.charter import Charter, CharterError
 from seamlb.agree.council import Member, Out
 from seamlb.agree.holder import Holder
 from seamlb.agree.kept import Kept, read_kept
@@ -161,7 +161,7 @@
             charter = self.holder.newest.altered(
                 dict(asked.get("rules", {})), list(asked.get("council", ())), list(asked.get("agents", ()))
             )
-        except (WrongCharter, TypeError, ValueError) as error:
+        except (CharterError, TypeError, ValueError) as error:
             return str(error)
         if why := charter.follows(self.holder.newest) or out_of_it:
             return why
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -10,7 +10,7 @@
 
 from seamlb import log
 from seamlb.net.connection import Connection
-from seamlb.net.dial import ConnectFailed, connect
+from seamlb.net.dial import ConnectError, connect
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.report import NOTES, parse_report
 from seamlb.protocol.sip import Framer, Message, SipError, parameter, releases, response
@@ -211,7 +211,7 @@
         """
         try:
             connection = await connect(link.desk.address, "desk", self.connect_timeout)
-        except ConnectFailed as failed:
+        except ConnectError as failed:
             return failed.reason
         if link.gone:
             connection.close(CloseReason.REPLACED)
--- a/seamlb/discovery/board.py
+++ b/seamlb/discovery/board.py
@@ -10,7 +10,7 @@
 import orjson
 
 from seamlb import log
-from seamlb.discovery.poller import Poller, PollFailed
+from seamlb.discovery.poller import Poller, PollError
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.notices import Notice, NoticeError, parse_notices
 from seamlb.routing.model import Availability, Changed, Desk, Scope
@@ -125,7 +125,7 @@
                         raise NoticeError(f"status {answer.status}")
                     self.known(orjson.loads(answer.body))
                     self.caught_up.set()
-                except PollFailed:
+                except PollError:
                     continue
                 except (NoticeError, orjson.JSONDecodeError) as error:
                     log.event("malformed", kind="board", error=str(error))
--- a/seamlb/discovery/consul.py
+++ b/seamlb/discovery/consul.py
@@ -12,7 +12,7 @@
 import orjson
 
 from seamlb import log
-from seamlb.discovery.poller import Poller, PollFailed
+from seamlb.discovery.poller import Poller, PollError
 from seamlb.net.reason import CloseReason
 from seamlb.routing.model import Availability, Changed, Desk, Scope
 
@@ -31,7 +31,7 @@
     since_key: str = "up_since_ms"
 
 
-class BadAnswer(Exception):
+class ConsulError(Exception):
     """An answer of Consul's that can't be used."""
 
 
@@ -73,12 +73,12 @@
                 try:
                     answer = await poller.get(f"{path}?index={index}&wait={int(self.config.wait * 1000)}ms", patience)
                     if answer.status != 200:
-                        raise BadAnswer(f"status {answer.status}")
+                        raise ConsulError(f"status {answer.status}")
                     told = answer.headers.get("x-consul-index", "")
                     if not told.isdigit():
-                        raise BadAnswer("no X-Consul-Index")
+                        raise ConsulError("no X-Consul-Index")
                     take(orjson.loads(answer.body))
-                except (PollFailed, BadAnswer, KeyError, TypeError, ValueError, AttributeError) as error:
+                except (PollError, ConsulError, KeyError, TypeError, ValueError, AttributeError) as error:
                     failures += 1
                     index = 0
                     pause = min(BACK_OFF_MOST, BACK_OFF_FIRST * 2 ** min(failures - 1, 10))
--- a/seamlb/discovery/poller.py
+++ b/seamlb/discovery/poller.py
@@ -5,14 +5,14 @@
 import asyncio
 
 from seamlb.net.connection import Connection
-from seamlb.net.dial import ConnectFailed, connect
+from seamlb.net.dial import ConnectError, connect
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.http import HttpError, Response, ResponseReader, get
 
 CONNECT_TIMEOUT = 1.0
 
 
-class PollFailed(Exception):
+class PollError(Exception):
     """No usable answer; the connection's log line tells more."""
 
 
@@ -27,12 +27,12 @@
         self.answers: asyncio.Queue[Response] = asyncio.Queue()
 
     async def get(self, path: str, timeout: float) -> Response:
-        """The answer to a GET; PollFailed if none comes within `timeout` seconds."""
+        """The answer to a GET; PollError if none comes within `timeout` seconds."""
         if self.connection is None or self.reading is None or self.connection.closed:
             try:
                 self.connection = await connect(self.address, self.kind, CONNECT_TIMEOUT)
-            except ConnectFailed as failed:
-                raise PollFailed(str(failed)) from None
+            except ConnectError as failed:
+                raise PollError(str(failed)) from None
             self.answers = asyncio.Queue()
             self.reading = asyncio.get_running_loop().create_task(self._read(self.connection, self.answers))
         connection = self.connection
@@ -44,7 +44,7 @@
                 await asyncio.sleep(0)  # an answer and the end of its connection may come together
             if not taking.done():
                 connection.close(CloseReason.SILENT)
-                raise PollFailed(str(connection.reason))
+                raise PollError(str(connection.reason))
             answer = taking.result()
         finally:
             taking.cancel()
--- a/seamlb/emulator/lab.py
+++ b/seamlb/emulator/lab.py
@@ -28,6 +28,8 @@
 
 
 class TroubleTable(msgspec.Struct, forbid_unknown_fields=True):
+    """One trouble of a desk, as a scenario file gives it."""
+
     at_s: float
     desk: str
     what: Literal["crash", "return", "hang", "wake", "slow", "drain"]
@@ -35,6 +37,8 @@
 
 
 class ScenarioTable(msgspec.Struct, forbid_unknown_fields=True):
+    """One `[[scenario]]` of an experiment file."""
+
     name: str
     load: float = 1.0
     offices: dict[str, float] = {}
@@ -79,11 +83,11 @@
     if told.plan:
         plan = plan_of(path.parent / told.plan)[0]
     else:
-        from seamlb.planning.solve import Infeasible, solve
+        from seamlb.planning.solve import InfeasibleError, solve
 
         try:
             plan = solve(problem)
-        except Infeasible:
+        except InfeasibleError:
             raise PlanningError(f"{path}: {told.problem} has no plan") from None
     return told, problem, plan
 
@@ -111,12 +115,14 @@
 
 
 def scenario(day: ScenarioTable) -> Scenario:
+    """The scenario that a table of an experiment file describes."""
     troubles = tuple(Trouble(one.at_s, one.desk, one.what, one.factor) for one in day.trouble)
     states = tuple((name, of) for name, all_of in day.states.items() for of in all_of)
     return Scenario(day.name, day.load, day.offices, day.districts, troubles, day.list_lag_s, states)
 
 
 def row(day: str, name: str, seed: int, result: Result) -> Row:
+    """One run as a row of the table of results."""
     figures = {
         "worth": result.worth,
         "worst_class": result.worst_class,
@@ -229,6 +235,7 @@
 
 
 def load(path: Path) -> list[Row]:
+    """Read a table of results; PlanningError says what is wrong with it."""
     try:
         lines = [line for line in path.read_text().splitlines() if not line.startswith("#")]
     except OSError as error:
--- a/seamlb/emulator/policies.py
+++ b/seamlb/emulator/policies.py
@@ -36,6 +36,7 @@
 
 
 def wanted(problem: Problem) -> Counter[tuple[str, str]]:
+    """Units of demand by class and district."""
     out: Counter[tuple[str, str]] = Counter()
     for (kind, district, _), units in problem.demand.items():
         out[kind, district] += units
--- a/seamlb/emulator/run.py
+++ b/seamlb/emulator/run.py
@@ -117,10 +117,12 @@
 
 
 def kinds(problem: Problem) -> list[Any]:
+    """Classes by name, the order in which the module numbers them."""
     return sorted(problem.kinds, key=lambda k: k.name)
 
 
 def offices(problem: Problem) -> list[Any]:
+    """Offices by name, the order in which the module numbers them."""
     return sorted(problem.offices, key=lambda o: o.name)
 
 
--- a/seamlb/fronts/figures.py
+++ b/seamlb/fronts/figures.py
@@ -11,7 +11,7 @@
 MOST_CELLS = 1 << 16  # a pool's or exchange's number has 16 bits
 
 
-class BadCall(Exception):
+class ManagementCallError(Exception):
     """A set-up that can't be taken; its text tells the caller why."""
 
 
@@ -33,27 +33,27 @@
     try:
         told = read_figures(text)
     except ValueError as error:
-        raise BadCall(f"X-Legs: {error}") from None
+        raise ManagementCallError(f"X-Legs: {error}") from None
     if usual is None and "dest" not in told:
-        raise BadCall("X-Legs names no first choice")
+        raise ManagementCallError("X-Legs names no first choice")
     dest = _place("dest", told.get("dest", usual if usual is not None else -1))
     if kind.pools is not None and dest not in kind.pools:
-        raise BadCall("the first choice can't take this class")
+        raise ManagementCallError("the first choice can't take this class")
     if told.get("width", kind.width) != kind.width:
-        raise BadCall("another width than the class has")
+        raise ManagementCallError("another width than the class has")
     return Figures(dest, kind.width, _place("via", told.get("via", -1)), told.get("again", 0) > 0)
 
 
 def _place(name: str, value: float) -> int:
     if value != int(value) or not -1 <= value < MOST_CELLS:
-        raise BadCall(f"X-Legs: {name} is out of range")
+        raise ManagementCallError(f"X-Legs: {name} is out of range")
     return int(value)
 
 
 def patience(text: str, kind: CallClass, name: str) -> float:
     """Milliseconds that a caller waits: no longer than its class may."""
     if not digits(text):
-        raise BadCall(f"{name} is no number of milliseconds")
+        raise ManagementCallError(f"{name} is no number of milliseconds")
     if float(text) > kind.deadline:
-        raise BadCall(f"{name} is longer than the class may wait")
+        raise ManagementCallError(f"{name} is longer than the class may wait")
     return float(text)
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -8,7 +8,7 @@
 
 from seamlb import log
 from seamlb.fronts.calls import Call, Client
-from seamlb.fronts.figures import BadCall, figures, patience
+from seamlb.fronts.figures import ManagementCallError, figures, patience
 from seamlb.fronts.releases import UNTOLD, Receiver, Release, ReleaseQueue
 from seamlb.lifecycle import Lifecycle
 from seamlb.net.connection import MAX_UNSENT_CLIENT, Connection
@@ -170,7 +170,7 @@
         call = Call(self, client, message, ident)
         try:
             request = self._read(message, ident)
-        except BadCall as bad:
+        except ManagementCallError as bad:
             client.connection.send(response(message, 400, ("Warning", f'399 seamlb "{bad}"')).encode())
             return
         client.open[ident] = call
@@ -189,18 +189,18 @@
         settings = self.agent.settings
         name = message.get("x-cos")
         if name not in settings.kinds:
-            raise BadCall("unknown class")
+            raise ManagementCallError("unknown class")
         if not IDENT.fullmatch(ident):
-            raise BadCall("Call-ID is not 16 hex digits")
+            raise ManagementCallError("Call-ID is not 16 hex digits")
         tenant = message.get("x-operator")
         if tenant and settings.tenants and tenant not in settings.tenants:
-            raise BadCall("unknown tenant")
+            raise ManagementCallError("unknown tenant")
         scheme, _, rest = message.uri.partition(":")
         number = rest.partition("@")[0]
         if scheme.lower() not in ("sip", "sips") or not NUMBER.fullmatch(number):
-            raise BadCall("not a SIP address")
+            raise ManagementCallError("not a SIP address")
         if len(message.body) > MOST_BODY:
-            raise BadCall("the description is too long")
+            raise ManagementCallError("the description is too long")
         kind = settings.classes[settings.kinds[name]]
         told = figures(message.get("x-legs"), kind)
         return Request(
--- a/seamlb/fronts/sip.py
+++ b/seamlb/fronts/sip.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from seamlb import log
-from seamlb.fronts.figures import BadCall, figures, patience
+from seamlb.fronts.figures import ManagementCallError, figures, patience
 from seamlb.lifecycle import Lifecycle
 from seamlb.net.lag import Lag
 from seamlb.protocol.dialog import Dialog, Resender
@@ -259,7 +259,7 @@
         call.respond(100)
         try:
             request = self._read(message, call.tag, flow.transport)
-        except BadCall as bad:
+        except ManagementCallError as bad:
             return call.respond(400, ("Warning", f'399 seamlb "{bad}"'))
         self.pending[entry.key] = call
         call.life = self.agent.take(request, call)
@@ -279,9 +279,9 @@
             }
             name, tenant = self.classify(facts, settings.kinds, settings.tenants)
         if name not in settings.kinds:
-            raise BadCall("unknown class")
+            raise ManagementCallError("unknown class")
         if tenant and tenant not in settings.tenants:
-            raise BadCall("unknown tenant")
+            raise ManagementCallError("unknown tenant")
         kind = settings.classes[settings.kinds[name]]
         timer = message.get(config.deadline_header.lower())
         waits = patience(timer, kind, config.deadline_header) if timer else config.default_deadline_ms
--- a/seamlb/members/command.py
+++ b/seamlb/members/command.py
@@ -9,7 +9,7 @@
 import click
 
 from seamlb.admin import AT, ask
-from seamlb.members.wire import Bad, decode
+from seamlb.members.wire import DatagramError, decode
 
 
 @click.group()
@@ -54,7 +54,7 @@
     """A datagram in hex DIGITS, in words; its signature is not checked."""
     try:
         found = decode(bytes.fromhex(digits), None)
-    except (ValueError, Bad) as error:
+    except (ValueError, DatagramError) as error:
         click.echo(f"seamlb members: no datagram: {error}", err=True)
         sys.exit(2)
     click.echo(
--- a/seamlb/members/wire.py
+++ b/seamlb/members/wire.py
@@ -110,7 +110,7 @@
         return body + _mac(secret, body)
 
 
-class Bad(Exception):
+class DatagramError(Exception):
     """A datagram that is not taken; its text is the reason it is counted by."""
 
 
@@ -131,47 +131,47 @@
 
     def take(self, size: int) -> bytes:
         if self.at + size > len(self.data):
-            raise Bad("cut off")
+            raise DatagramError("cut off")
         self.at += size
         return self.data[self.at - size : self.at]
 
     def name(self) -> str:
         size = self.take(1)[0]
         if size > NAME_MOST:
-            raise Bad("unreadable")
+            raise DatagramError("unreadable")
         try:
             return self.take(size).decode()
         except UnicodeDecodeError:
-            raise Bad("unreadable") from None
+            raise DatagramError("unreadable") from None
 
     def item(self) -> Item:
         name = self.name()
         host, port, incarnation, status, version, size = _ITEM.unpack(self.take(_ITEM.size))
         if size > META_MOST or status not in iter(Status):
-            raise Bad("unreadable")
+            raise DatagramError("unreadable")
         address = f"{ipaddress.IPv4Address(host)}:{port}"
         return Item(name, address, incarnation, Status(status), version, self.take(size))
 
 
 def decode(data: bytes, keys: Mapping[int, bytes] | None) -> Datagram:
-    """Read a datagram; Bad says why not. Without `keys` nothing is said of who sent it."""
+    """Read a datagram; DatagramError says why not. Without `keys` nothing is said of who sent it."""
     if len(data) > MOST:
-        raise Bad("too long")
+        raise DatagramError("too long")
     if len(data) < _HEAD.size + MAC:
-        raise Bad("cut off")
+        raise DatagramError("cut off")
     magic, version, key, kind = _HEAD.unpack(data[: _HEAD.size])
     if magic != MAGIC:
-        raise Bad("unreadable")
+        raise DatagramError("unreadable")
     if version != VERSION:
-        raise Bad("other version")
+        raise DatagramError("other version")
     body = data[:-MAC]
     if keys is not None:
         if key not in keys:
-            raise Bad("unknown key")
+            raise DatagramError("unknown key")
         if not compare_digest(_mac(keys[key], body), data[-MAC:]):
-            raise Bad("wrong signature")
+            raise DatagramError("wrong signature")
     if kind not in iter(Kind):
-        raise Bad("unreadable")
+        raise DatagramError("unreadable")
     reader = _Reader(body)
     reader.take(_HEAD.size)
     sender = reader.name()
@@ -179,7 +179,7 @@
     target = reader.name()
     items = tuple(reader.item() for _ in range(reader.take(1)[0]))
     if reader.at != len(body):
-        raise Bad("unreadable")
+        raise DatagramError("unreadable")
     return Datagram(Kind(kind), sender, incarnation, number, target, items, count, sent)
 
 
@@ -228,10 +228,10 @@
         try:
             message = decode(data, self.keys)
             if abs(clock - message.sent) > SKEW:
-                raise Bad("clock")
+                raise DatagramError("clock")
             self._once(message, address)
             return message
-        except Bad as bad:
+        except DatagramError as bad:
             reason = str(bad)
             self.dropped[reason] += 1
             if clock - self.said.get(reason, -SAY_EVERY) >= SAY_EVERY:
@@ -245,7 +245,7 @@
             del self.seen[next(iter(self.seen))]
         count = message.count
         if count <= seen.last - WINDOW or count == seen.last or count in seen.late:
-            raise Bad("replayed")
+            raise DatagramError("replayed")
         if count > seen.last:
             seen.late = {one for one in (*seen.late, seen.last) if one > count - WINDOW}
             seen.last = count
--- a/seamlb/net/dial.py
+++ b/seamlb/net/dial.py
@@ -14,7 +14,7 @@
 from seamlb.net.reason import CloseReason
 
 
-class ConnectFailed(Exception):
+class ConnectError(Exception):
     """A connection that never came up."""
 
     def __init__(self, reason: CloseReason) -> None:
@@ -23,13 +23,13 @@
 
 
 async def connect(address: str, kind: str, timeout: float) -> Connection:
-    """Open a connection; ConnectFailed says why there is none, and its log line is written."""
+    """Open a connection; ConnectError says why there is none, and its log line is written."""
     host, port = split_address(address)
     try:
         sock = socket.socket(family(host))
     except OSError:  # no descriptor is left
         log.event("connection_end", kind=kind, peer=address, reason=CloseReason.LIMIT.value)
-        raise ConnectFailed(CloseReason.LIMIT) from None
+        raise ConnectError(CloseReason.LIMIT) from None
     stream = IOStream(sock, max_buffer_size=4 * READ_CHUNK, max_write_buffer_size=MAX_UNSENT)
     try:
         await asyncio.wait_for(stream.connect((host, port)), timeout)
@@ -48,4 +48,4 @@
         return Connection(stream, kind, address)
     stream.close()
     log.event("connection_end", kind=kind, peer=address, reason=reason.value)
-    raise ConnectFailed(reason)
+    raise ConnectError(reason)
--- a/seamlb/planning/command.py
+++ b/seamlb/planning/command.py
@@ -73,12 +73,12 @@
     loaded, until = load_problem(problem, current), time.monotonic() + time_limit
     try:
         found = solver.solve(loaded, time_limit, tell)
-    except solver.Stopped:
+    except solver.OutOfTimeError:
         _end(UNPROVEN, f"{problem}: no plan was found within {time_limit:g} s; that none exists is not shown")
-    except solver.Infeasible:
+    except solver.InfeasibleError:
         try:
             lines = conflict_lines(loaded, solver.conflict(loaded, until, tell))
-        except solver.Stopped:
+        except solver.OutOfTimeError:
             _end(INFEASIBLE, f"{problem}: no plan exists; the time ran out before the conflict was found")
         _end(INFEASIBLE, f"{problem}: no plan exists; these can't all hold:", *(f"- {line}" for line in lines))
     if wrong := check_plan(loaded, found):
--- a/seamlb/planning/files.py
+++ b/seamlb/planning/files.py
@@ -50,12 +50,16 @@
 
 
 class OfficeTable(_Table):
+    """`[[office]]`: a tenant and its share."""
+
     name: Name
     share: Part
     floor: Part = 0.0
 
 
 class ClassTable(_Table):
+    """`[[class]]`: a call class, its worth and the service it asks for."""
+
     name: Name
     worth: Annotated[int, msgspec.Meta(ge=0, le=10**6)]
     holding_s: Above
@@ -78,6 +82,8 @@
 
 
 class DeskTable(_Table):
+    """`[[desk]]`: a server, its people and what they can do."""
+
     name: Name
     district: Name
     agents: Annotated[int, msgspec.Meta(ge=0, le=20000)]
@@ -93,6 +99,8 @@
 
 
 class ProblemTable(_Table):
+    """A whole problem file."""
+
     district: list[DistrictTable]
     office: list[OfficeTable]
     class_: list[ClassTable] = msgspec.field(name="class")
@@ -242,11 +250,15 @@
 
 
 class PlacementTable(_Table):
+    """`[[placement]]` of a plan file: the classes that a desk is given."""
+
     desk: Name
     classes: list[Name]
 
 
 class RouteTable(_Table):
+    """`[[route]]` of a plan file: what a desk carries of a class in a district."""
+
     class_: Name = msgspec.field(name="class")
     district: Name
     desk: Name
@@ -255,6 +267,8 @@
 
 
 class SupplyTable(_Table):
+    """`[[supply]]` of a plan file: what an office gets, within its share and beyond."""
+
     class_: Name = msgspec.field(name="class")
     district: Name
     office: Name
@@ -263,6 +277,8 @@
 
 
 class ObjectiveTable(_Table):
+    """`[objective]` of a plan file, by part in the order of weight."""
+
     worth: int
     cost: Whole
     distance: Whole
@@ -270,6 +286,8 @@
 
 
 class PlanTable(_Table):
+    """A whole plan file."""
+
     status: Literal["optimal", "stopped"]
     problem: str  # digest of the problem it was made for
     grain_milli_erlangs: Annotated[int, msgspec.Meta(gt=0)]
--- a/seamlb/planning/solve.py
+++ b/seamlb/planning/solve.py
@@ -23,15 +23,15 @@
 Progress = Callable[[str], None]
 
 
-class Infeasible(Exception):
+class InfeasibleError(Exception):
     """No plan exists."""
 
 
-class Stopped(Exception):
+class OutOfTimeError(Exception):
     """The time ran out."""
 
 
-class NumericalTrouble(PlanningError):
+class NumericalError(PlanningError):
     """The solver's answer can't be made exact."""
 
 
@@ -84,10 +84,10 @@
         for _ in range(CUTS):
             try:
                 found = optimise(program, goal, self.until, self.best)
-            except Infeasible:
+            except InfeasibleError:
                 if self.best is None:
                     raise
-                raise NumericalTrouble(f"{name}: the solver finds no plan, though one is known") from None
+                raise NumericalError(f"{name}: the solver finds no plan, though one is known") from None
             self.nodes += found.nodes
             placement = program.placement(found.values)
             if cut := self.cut(program, placement):
@@ -95,27 +95,27 @@
                 continue
             value = exact(placement)
             if found.proven and abs(value - found.value) > max(0.5, 1e-9 * abs(value)):
-                raise NumericalTrouble(f"the solver's {name} of {found.value:.3f} is {value} when recomputed")
+                raise NumericalError(f"the solver's {name} of {found.value:.3f} is {value} when recomputed")
             self.best = placement
             if not found.proven:
                 self.bound[name] = found.bound
-                raise Stopped(name)
+                raise OutOfTimeError(name)
             self.progress(f"{name} {abs(value)}: proven, {self.nodes} nodes")
             return value
-        raise NumericalTrouble(f"{name}: {CUTS} rounds of cuts did not give an exact plan")
+        raise NumericalError(f"{name}: {CUTS} rounds of cuts did not give an exact plan")
 
 
 def solve(problem: Problem, time_limit: float = INFINITE, progress: Progress = lambda line: None) -> Plan:
     """The best plan, proven; one with status "stopped" when the time (seconds) ran out first.
 
-    Raises Infeasible, Stopped (no plan at all in time) or PlanningError.
+    Raises InfeasibleError, OutOfTimeError (no plan at all in time) or PlanningError.
     """
     search = Search(problem, time.monotonic() + time_limit, progress)
     proven: list[str] = []
     try:
         for name in _stages(search):
             proven.append(name)
-    except Stopped:
+    except OutOfTimeError:
         if search.best is None:
             raise
     assert search.best is not None
@@ -191,20 +191,20 @@
 
 
 def feasible(problem: Problem, without: Sequence[Rule], until: float = INFINITE) -> bool:
-    """Is there any plan when some rules are left out? Raises Stopped when the time runs out first."""
+    """Is there any plan when some rules are left out? Raises OutOfTimeError when the time runs out first."""
     program = build(problem, by_district=False, without=without)
     for _ in range(CUTS):
         try:
             found = optimise(program, {}, until, None)
-        except Infeasible:
+        except InfeasibleError:
             return False
         if not found.proven:
-            raise Stopped("feasibility")
+            raise OutOfTimeError("feasibility")
         placement = program.placement(found.values)
         if Rule("budget") in without or problem.budget is None or problem.cost(placement) <= problem.budget:
             return True
         program.rows.append(cover(program, placement))
-    raise NumericalTrouble("feasibility can't be told exactly")
+    raise NumericalError("feasibility can't be told exactly")
 
 
 def conflict(problem: Problem, until: float = INFINITE, progress: Progress = lambda line: None) -> list[Rule]:
@@ -240,7 +240,7 @@
 
     left = until - time.monotonic()
     if left <= 0:
-        raise Stopped("time")
+        raise OutOfTimeError("time")
     solver: Any = highspy._core._Highs()  # the class beneath `Highs`, which writes a banner to standard output
     for option, value in (
         ("output_flag", False),
@@ -293,12 +293,12 @@
     status, info = solver.getModelStatus(), solver.getInfo()
     known = highspy.HighsModelStatus
     if status in (known.kInfeasible, known.kUnboundedOrInfeasible):
-        raise Infeasible
+        raise InfeasibleError
     if status not in (known.kOptimal, known.kTimeLimit):
         raise PlanningError(f"the solver ended without an answer: {solver.modelStatusToString(status)}")
     answer = list(solver.getSolution().col_value)
     if info.primal_solution_status != highspy.SolutionStatus.kSolutionStatusFeasible or not answer:
-        raise Stopped("time")
+        raise OutOfTimeError("time")
     told = -info.objective_function_value * scale
     value = sum(v * answer[column] for column, v in goal.items())
     if start is not None and abs(value - told) > max(0.5, 1e-9 * abs(told)):
--- a/seamlb/plugins/abi.py
+++ b/seamlb/plugins/abi.py
@@ -25,7 +25,7 @@
 Answers = list[tuple[int, float]]
 
 
-class Fault(Exception):
+class PluginError(Exception):
     """A plug-in did not answer as it must; `kind` is one word for counting."""
 
     def __init__(self, kind: str, why: str = "") -> None:
@@ -37,10 +37,10 @@
     """Runs one plug-in's code."""
 
     def run(self, point: int, inputs: Sequence[float], fuel: int) -> tuple[Answers, int]:
-        """Its answers and the fuel used. Raises Fault, and only that, for whatever the code does."""
+        """Its answers and the fuel used. Raises PluginError, and only that, for whatever the code does."""
 
 
-class BadModule(Exception):
+class ModuleError(Exception):
     """A module that can't be taken; its text is one line."""
 
 
@@ -63,7 +63,7 @@
 
 
 def read_manifest(data: bytes) -> Program:
-    """The program that a manifest describes, without its code; BadModule says what is wrong."""
+    """The program that a manifest describes, without its code; ModuleError says what is wrong."""
     try:
         raw: Any = orjson.loads(data)
         if raw["abi"] != ABI:
@@ -93,7 +93,7 @@
         if len(out.inputs) > MOST_INPUTS:
             raise ValueError(f"{len(out.inputs)} inputs, {MOST_INPUTS} at most")
     except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as error:
-        raise BadModule(f"its manifest can't be used: {error!s}"[:300].replace("\n", " ")) from None
+        raise ModuleError(f"its manifest can't be used: {error!s}"[:300].replace("\n", " ")) from None
     return out
 
 
@@ -116,11 +116,11 @@
 
 
 def custom_section(module: bytes, name: str = SECTION) -> bytes:
-    """A module's custom section; BadModule if it has none or can't be walked (WebAssembly core, 5.5)."""
+    """A module's custom section; ModuleError if it has none or can't be walked (WebAssembly core, 5.5)."""
     if len(module) > MOST_MODULE:
-        raise BadModule(f"{len(module)} bytes are more than a module may have ({MOST_MODULE})")
+        raise ModuleError(f"{len(module)} bytes are more than a module may have ({MOST_MODULE})")
     if module[:8] != b"\0asm\1\0\0\0":
-        raise BadModule("not a WebAssembly module")
+        raise ModuleError("not a WebAssembly module")
     at = 8
     while at < len(module):
         section = module[at]
@@ -133,14 +133,14 @@
             if start + length <= end and module[start : start + length] == name.encode():
                 return module[start + length : end]
         at = end
-    raise BadModule(f"it has no section {name!r}, or is cut off")
+    raise ModuleError(f"it has no section {name!r}, or is cut off")
 
 
 def _leb(data: bytes, at: int) -> tuple[int, int]:
     value = shift = 0
     while True:
         if at >= len(data) or shift > 28:
-            raise BadModule("a number in it is cut off or too large")
+            raise ModuleError("a number in it is cut off or too large")
         byte = data[at]
         at += 1
         value |= (byte & 0x7F) << shift
--- a/seamlb/plugins/chain.py
+++ b/seamlb/plugins/chain.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 from time import perf_counter
 
-from seamlb.plugins.abi import Fault
+from seamlb.plugins.abi import PluginError
 from seamlb.plugins.host import Answer, Facts, Plugin
 from seamlb.plugins.supervisor import Health, Supervisor
 from seamlb.plugins.windows import Window
@@ -244,7 +244,7 @@
                 told, cost = slot.active.ask(now, point, facts, self.states, fuel - used)
                 used += cost
                 out += told
-        except Fault as error:
+        except PluginError as error:
             self._fault(now, slot, error)
             out, used = [], min(fuel, max(used, fuel // 2))  # it may not eat what others were to have
         else:
@@ -258,7 +258,7 @@
         try:
             for point in ("classify", "admit", "prefer"):
                 told += shadow.ask(now, point, facts, self.states, self.fuel, dry=True)[0]
-        except Fault as error:
+        except PluginError as error:
             slot.shadow_faults += 1
             if slot.shadow_faults == 1:
                 self.tell(
@@ -273,7 +273,7 @@
             else:
                 self.switch(now, shadow.name)
 
-    def _fault(self, now: float, slot: Slot, error: Fault) -> None:
+    def _fault(self, now: float, slot: Slot, error: PluginError) -> None:
         name = slot.active.name
         self.faults[f"{name}:{error.kind}"] += 1
         if self.supervisor.fault(now, name, error.kind) and slot.previous and now - slot.switched < PROBATION_MS:
@@ -307,7 +307,7 @@
                 for one in slot.active.ask(now, point, facts, self.states, self.fuel)[0]:
                     if one.kind == "alarm":
                         self.tell("plugin_alarm", {"plugin": name, "text": one.text})
-            except Fault as error:
+            except PluginError as error:
                 self._fault(now, slot, error)
         self.supervisor.spent(now, (self.timer() - began) * 1000.0)
 
--- a/seamlb/plugins/command.py
+++ b/seamlb/plugins/command.py
@@ -9,7 +9,7 @@
 import click
 import orjson
 
-from seamlb.plugins.abi import BadModule
+from seamlb.plugins.abi import ModuleError
 from seamlb.plugins.checking import compile_text
 from seamlb.plugins.control import ask
 from seamlb.plugins.host import Grant
@@ -105,7 +105,7 @@
     """A rule file as a WebAssembly module against the same ABI."""
     try:
         out.write_bytes(compile_program(compile_text(_read(path), str(path))))
-    except (RuleError, BadModule, OSError) as error:
+    except (RuleError, ModuleError, OSError) as error:
         _end(str(error))
 
 
--- a/seamlb/plugins/engine.py
+++ b/seamlb/plugins/engine.py
@@ -9,7 +9,7 @@
 
 import wasmtime
 
-from seamlb.plugins.abi import MOST_ANSWERS, PAGE, Answers, BadModule, Fault
+from seamlb.plugins.abi import MOST_ANSWERS, PAGE, Answers, ModuleError, PluginError
 
 MEMORY = 4 << 20  # bytes a plug-in may hold
 STACK = 256 << 10
@@ -43,10 +43,10 @@
         try:
             self.module = wasmtime.Module(_engine(), module)
             if self.module.imports:
-                raise BadModule(f"it imports {self.module.imports[0].name!r}, and nothing may be imported")
+                raise ModuleError(f"it imports {self.module.imports[0].name!r}, and nothing may be imported")
             self._begin()
         except wasmtime.WasmtimeError as error:
-            raise BadModule(_reason(error)) from None
+            raise ModuleError(_reason(error)) from None
 
     def _begin(self) -> None:
         self.store = wasmtime.Store(_engine())
@@ -55,15 +55,15 @@
         try:
             exports = wasmtime.Instance(self.store, self.module, []).exports(self.store)
         except (wasmtime.Trap, wasmtime.WasmtimeError) as error:
-            raise BadModule(f"it does not start: {_reason(error)}") from None
+            raise ModuleError(f"it does not start: {_reason(error)}") from None
         memory, run = exports.get("memory"), exports.get("run")
         if not isinstance(memory, wasmtime.Memory) or not isinstance(run, wasmtime.Func):
-            raise BadModule("it exports no memory `memory` and function `run`")
+            raise ModuleError("it exports no memory `memory` and function `run`")
         kind = run.type(self.store)
         if [str(one) for one in kind.params] != ["i32"] or [str(one) for one in kind.results] != ["i32"]:
-            raise BadModule("`run` must take an i32 and return an i32")
+            raise ModuleError("`run` must take an i32 and return an i32")
         if memory.data_len(self.store) < 8 * self.inputs + 16 * MOST_ANSWERS:
-            raise BadModule("its memory has no room for its inputs and answers")
+            raise ModuleError("its memory has no room for its inputs and answers")
         self.memory, self.function = memory, run
         self.broken = False
 
@@ -77,20 +77,20 @@
             count: Any = self.function(self.store, point)
             used = fuel - self.store.get_fuel()
             if not 0 <= count <= MOST_ANSWERS:
-                raise Fault("answers", f"{count} of {MOST_ANSWERS}")
+                raise PluginError("answers", f"{count} of {MOST_ANSWERS}")
             data = bytes(self.memory.read(self.store, 8 * self.inputs, 8 * self.inputs + 16 * count))
         except wasmtime.Trap as error:
-            raise Fault(
+            raise PluginError(
                 "fuel" if error.trap_code == wasmtime.TrapCode.OUT_OF_FUEL else "trap", _reason(error)
             ) from None
-        except BadModule as error:
-            raise Fault("start", str(error)) from None
+        except ModuleError as error:
+            raise PluginError("start", str(error)) from None
         except wasmtime.WasmtimeError as error:
-            raise Fault("fuel" if "fuel" in str(error) else "trap", _reason(error)) from None
+            raise PluginError("fuel" if "fuel" in str(error) else "trap", _reason(error)) from None
         self.broken = False
         answers = []
         for number, value in struct.iter_unpack("<dd", data):
             if not 0 <= number < 1e9 or number != int(number):
-                raise Fault("answers", f"no such answer: {number}")
+                raise PluginError("answers", f"no such answer: {number}")
             answers.append((int(number), value))
         return answers, used
--- a/seamlb/plugins/host.py
+++ b/seamlb/plugins/host.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from seamlb.plugins.abi import Engine, Fault
+from seamlb.plugins.abi import Engine, PluginError
 from seamlb.plugins.checking import POINTS, UNITS, Program
 from seamlb.plugins.windows import Kept, Window
 
@@ -52,7 +52,7 @@
     value: float = 0.0
 
 
-class Denied(Exception):
+class GrantError(Exception):
     """The manifest asks for more than is granted; its text is one line."""
 
 
@@ -71,9 +71,9 @@
         self.program, self.engine, self.grant = program, engine, grant
         self.digest = blake2b(source, digest_size=12).hexdigest()  # tells whether a file has changed
         if extra := sorted(program.points.keys() - grant.points):
-            raise Denied(f"{program.name} answers on {extra[0]}, which is not granted")
+            raise GrantError(f"{program.name} answers on {extra[0]}, which is not granted")
         if grant.facts is not None and (extra := sorted(program.uses() - grant.facts)):
-            raise Denied(f"{program.name} reads {extra[0]}, which is not granted")
+            raise GrantError(f"{program.name} reads {extra[0]}, which is not granted")
         self.tables = {
             one.name: (
                 {key: value * UNITS[unit][1] for key, value, unit in one.rows},
@@ -125,7 +125,7 @@
         fuel: int,
         dry: bool = False,
     ) -> tuple[list[Answer], int]:
-        """Its answers on a point, and the fuel it used; a Fault if it did not answer as it must.
+        """Its answers on a point, and the fuel it used; a PluginError if it did not answer as it must.
 
         Its own counters and kept values change only when the whole answer is good, and never when `dry` (in shadow).
         """
@@ -136,9 +136,9 @@
         changes: list[Answer] = []
         for number, value in raw:
             if number >= len(self.program.answers):
-                raise Fault("answers", f"it has no answer {number}")
+                raise PluginError("answers", f"it has no answer {number}")
             if not math.isfinite(value):
-                raise Fault("value", f"{value}")
+                raise PluginError("value", f"{value}")
             kind, text = self.program.answers[number]
             (changes if kind in ("count", "set") else answers).append(Answer(kind, text, value))
         if not dry:
--- a/seamlb/plugins/language.py
+++ b/seamlb/plugins/language.py
@@ -101,6 +101,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Action:
+    """One action of a rule, with the place where it stands."""
+
     kind: str
     at: At
     value: str = ""
@@ -109,6 +111,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Rule:
+    """One rule: at which point it is asked, when it holds, and what it does."""
+
     name: str
     point: str
     at: At
@@ -141,6 +145,7 @@
 
 
 def fail(path: str, at: At, problem: str, hint: str = "") -> RuleError:
+    """An error with file, line and column, and a hint if there is one."""
     return RuleError(f"{path}:{at.line}:{at.column}: {problem}" + (f" ({hint})" if hint else ""))
 
 
--- a/seamlb/plugins/loading.py
+++ b/seamlb/plugins/loading.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from seamlb.plugins.abi import MOST_MODULE, BadModule, custom_section, read_manifest
+from seamlb.plugins.abi import MOST_MODULE, ModuleError, custom_section, read_manifest
 from seamlb.plugins.checking import FACTS, POINTS, compile_text
-from seamlb.plugins.host import Denied, Grant, Plugin
+from seamlb.plugins.host import Grant, GrantError, Plugin
 from seamlb.plugins.language import MOST_BYTES, RuleError
 from seamlb.plugins.machine import Interpreter
 
@@ -80,11 +80,12 @@
         raise LoadError(str(error)) from None
     except ModuleNotFoundError as error:
         raise LoadError(f"{path}: {error.name} is missing; install seamlb[plugins]") from None
-    except (BadModule, Denied, UnicodeDecodeError) as error:
+    except (ModuleError, GrantError, UnicodeDecodeError) as error:
         raise LoadError(f"{path}: {error}") from None
 
 
 def grant_of(table: PluginTable) -> Grant:
+    """What the settings let a plug-in answer, read and use."""
     return Grant(
         frozenset(table.points), None if table.facts is None else frozenset(table.facts), table.most, table.lasting
     )
--- a/seamlb/plugins/machine.py
+++ b/seamlb/plugins/machine.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from seamlb.plugins.abi import MOST_ANSWERS, Answers, Fault
+from seamlb.plugins.abi import MOST_ANSWERS, Answers, PluginError
 from seamlb.plugins.checking import CALCULATED, COMPARED, POINTS, Expr, Program
 
 CONST, INPUT, NOT, NEG, DYAD, SKIP_IF, SKIP_UNLESS, TRUTH, ANSWER, STOP = range(10)
@@ -69,7 +69,7 @@
         while at < len(code):
             steps += 1
             if steps > fuel:
-                raise Fault("fuel", f"{fuel} steps")
+                raise PluginError("fuel", f"{fuel} steps")
             op, value = code[at]
             at += 1
             if op == CONST:
@@ -91,7 +91,7 @@
                 stack[-1] = -stack[-1]
             elif op == ANSWER:
                 if len(answers) >= MOST_ANSWERS:
-                    raise Fault("answers", f"more than {MOST_ANSWERS}")
+                    raise PluginError("answers", f"more than {MOST_ANSWERS}")
                 answers.append((int(value), stack.pop()))
             else:
                 break
--- a/seamlb/plugins/printing.py
+++ b/seamlb/plugins/printing.py
@@ -20,6 +20,7 @@
 
 
 def number(value: float, unit: str = "") -> str:
+    """A number as the language writes it, with its unit."""
     return f"{value:.10g}" + (f" {unit}" if unit and unit != "%" else unit)
 
 
@@ -55,6 +56,7 @@
 
 
 def action(one: Action) -> str:
+    """An action as the language writes it."""
     word = WORDS.get(one.kind, one.kind)
     if one.kind == "set" and one.expr is not None:
         return f"set {one.value} to {expression(one.expr)}"
@@ -64,6 +66,7 @@
 
 
 def declaration(one: Declared) -> str:
+    """A declaration as the language writes it."""
     of = f" of {one.of}" if one.of else ""
     if one.kind == "state":
         return f"state {one.name}{of}"
--- a/seamlb/plugins/wasm.py
+++ b/seamlb/plugins/wasm.py
@@ -4,7 +4,7 @@
 
 import struct
 
-from seamlb.plugins.abi import MOST_ANSWERS, PAGE, SECTION, BadModule, manifest
+from seamlb.plugins.abi import MOST_ANSWERS, PAGE, SECTION, ModuleError, manifest
 from seamlb.plugins.checking import POINTS, Clause, Expr, Program
 
 I32, F64, VOID = 0x7F, 0x7C, 0x40
@@ -31,6 +31,7 @@
 
 
 def signed(value: int) -> bytes:
+    """A signed integer in LEB128."""
     out = bytearray()
     while True:
         byte, value = value & 0x7F, value >> 7
@@ -101,7 +102,7 @@
     for point, clauses in program.points.items():
         steps = sum(len(one.steps) for one in clauses)
         if steps > MOST_ANSWERS:
-            raise BadModule(f"{point} has {steps} actions, {MOST_ANSWERS} at most")
+            raise ModuleError(f"{point} has {steps} actions, {MOST_ANSWERS} at most")
     base = 8 * len(program.inputs)
     pages = -(-(base + 16 * MOST_ANSWERS) // PAGE)
     code = b""
--- a/seamlb/protocol/http.py
+++ b/seamlb/protocol/http.py
@@ -20,6 +20,8 @@
 
 @dataclass(slots=True)
 class Response:
+    """An HTTP response; header names in lower case."""
+
     status: int
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
@@ -38,6 +40,8 @@
 
 @dataclass(slots=True)
 class Request:
+    """An HTTP request; header names in lower case."""
+
     method: str
     target: str
     headers: dict[str, str] = field(default_factory=dict)
--- a/seamlb/protocol/transaction.py
+++ b/seamlb/protocol/transaction.py
@@ -17,6 +17,8 @@
 
 
 class State(Enum):
+    """State of a SIP transaction (RFC 3261, 17)."""
+
     TRYING = auto()  # CALLING for INVITE clients
     PROCEEDING = auto()
     COMPLETED = auto()
--- a/seamlb/rollout/command.py
+++ b/seamlb/rollout/command.py
@@ -11,7 +11,7 @@
 import click
 
 from seamlb.rollout.change import OVER, Place
-from seamlb.rollout.conductor import WISHES, Conductor, Folder, Refused
+from seamlb.rollout.conductor import WISHES, ChangeRefusedError, Conductor, Folder
 from seamlb.rollout.keeper import Keeper, load_keeper
 from seamlb.rollout.plan import Plan, PlanError, load_plan
 from seamlb.store import record
@@ -59,7 +59,7 @@
 
     try:
         over = asyncio.run(go())
-    except Refused as error:
+    except ChangeRefusedError as error:
         _end(str(error), 1)
     except KeyboardInterrupt:
         _end("stopped; the change stands where it is, `seamlb rollout resume` goes on with it", 1)
--- a/seamlb/rollout/conductor.py
+++ b/seamlb/rollout/conductor.py
@@ -31,7 +31,7 @@
 WISHES = ("pause", "resume", "abort")
 
 
-class Refused(Exception):
+class ChangeRefusedError(Exception):
     """This conductor may not act; its text is one line for the operator."""
 
 
@@ -203,20 +203,20 @@
         await self._all(self._look)
 
     async def begin(self) -> None:
-        """Get the word of more than half of the fleet, and of nobody a no; Refused otherwise."""
+        """Get the word of more than half of the fleet, and of nobody a no; ChangeRefusedError otherwise."""
         held = sum(await self._all(self._lease))
         if self.refusals:
             agent, error = min(self.refusals.items())
-            raise Refused(f"{agent}: {error}")
+            raise ChangeRefusedError(f"{agent}: {error}")
         if 2 * held <= len(self.keepers):
-            raise Refused(f"only {held} of {len(self.keepers)} keepers answer")
+            raise ChangeRefusedError(f"only {held} of {len(self.keepers)} keepers answer")
         await self.look()
         for agent, view in sorted(self.views.items()):
             if view.running and view.running not in self.revisions:
-                raise Refused(f"{agent}: runs {view.running}, which is neither old nor new")
+                raise ChangeRefusedError(f"{agent}: runs {view.running}, which is neither old nor new")
 
     async def run(self) -> Place:
-        """Conduct until the change is over; Refused once another one does, or more is known than here."""
+        """Conduct until the change is over; ChangeRefusedError once another one does, or more is known than here."""
         loop = asyncio.get_running_loop()
         await self.begin()
         course = Course(self.place, loop.time())
@@ -241,7 +241,7 @@
                 orders = []
             held = await self._all(self._lease)
             if 2 * len(self.refusals) >= len(self.keepers):
-                raise Refused(f"orders are refused: {min(self.refusals.values())}")
+                raise ChangeRefusedError(f"orders are refused: {min(self.refusals.values())}")
             if self.place.phase in OVER and not self.disk:
                 if all(held):
                     return self.place
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -13,7 +13,7 @@
 from seamlb.net.address import split_address
 from seamlb.net.connection import Connection
 from seamlb.net.datagram import Endpoint as Datagrams
-from seamlb.net.dial import ConnectFailed, connect
+from seamlb.net.dial import ConnectError, connect
 from seamlb.net.listener import Listener
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.sip import Framer, Message, SipError, digits, parameter, parse_datagram, response
@@ -362,7 +362,7 @@
     async def _connect(self, address: Address, route: Route) -> None:
         try:
             connection = await connect("{}:{}".format(*address), self.kind, CONNECT_TIMEOUT)
-        except ConnectFailed:
+        except ConnectError:
             waiting, route.waiting = route.waiting, []
             self.routes.pop(address, None)
             for _, broken, _ in waiting:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.known_red import FILE, BadKnownRed, KnownRed, parse
+from tests.known_red import FILE, KnownRed, KnownRedError, parse
 
 OPTION = "--pass-over-known-red"
 
@@ -16,7 +16,7 @@
         return []
     try:
         return parse(FILE.read_text())
-    except BadKnownRed as error:
+    except KnownRedError as error:
         raise pytest.UsageError(f"{FILE.name}: {error}") from None
 
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -10,7 +10,7 @@
 CHECKS = "tests/test_known_red.py"  # which may not be listed itself
 
 
-class BadKnownRed(Exception):
+class KnownRedError(Exception):
     """A list that can't be used; its text is one line."""
 
 
@@ -28,17 +28,17 @@
 
 
 def parse(text: str) -> list[KnownRed]:
-    """The listed tests; BadKnownRed if there are too many or a line is not of the form."""
+    """The listed tests; KnownRedError if there are too many or a line is not of the form."""
     found = []
     for number, line in enumerate(text.splitlines(), 1):
         if not line.strip() or line.startswith("#"):
             continue
         fields = [field.strip() for field in line.split("|")]
         if len(fields) != 3 or not all(fields):
-            raise BadKnownRed(f"line {number}: not 'test | cause | issue'")
+            raise KnownRedError(f"line {number}: not 'test | cause | issue'")
         found.append(KnownRed(*fields))
     if len(found) > MOST:
-        raise BadKnownRed(f"{len(found)} tests are listed, {MOST} may be")
+        raise KnownRedError(f"{len(found)} tests are listed, {MOST} may be")
     return found
 
 
--- a/tests/test_acting.py
+++ b/tests/test_acting.py
@@ -14,7 +14,7 @@
 
 from seamlb.agree.acting import Acting
 from seamlb.agree.charter import Charter, Field
-from seamlb.agree.frames import LONGEST, Broken, Codec, Reader
+from seamlb.agree.frames import LONGEST, Codec, FrameError, Reader
 from seamlb.agree.holder import Holder, Stance
 from seamlb.agree.link import AgreeLink
 from seamlb.agree.notes import Kind, Note
@@ -164,7 +164,7 @@
         reader.dropped.clear()
         assert list(Reader(reader).feed(other.encode("a1", notes[0]))) == [] and reader.dropped[reason] == 1
     assert list(Reader(reader).feed(sender.encode("a2", notes[0]))) == [] and reader.dropped["not for us"] == 1
-    with pytest.raises(Broken):
+    with pytest.raises(FrameError):
         list(Reader(reader).feed((LONGEST + 1).to_bytes(4) + b"\1"))
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -102,12 +102,12 @@
 
 
 def test_an_exception_in_the_module_is_declared(capsys: pytest.CaptureFixture[str]) -> None:
-    class Broken:
+    class FrameError:
         def handle(self, now: float, event: api.Event) -> list[api.Action]:
             raise RuntimeError("it broke")
 
     host = Host()
-    host.controllers[3] = Broken()  # type: ignore[assignment]
+    host.controllers[3] = FrameError()  # type: ignore[assignment]
     sink = io.BytesIO()
     assert host.serve(io.BytesIO(frame(DEMAND)), sink) == 0
     assert struct.unpack_from("<HH", sink.getvalue(), 12) == (74, 3)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -15,7 +15,7 @@
 from seamlb.fronts.calls import Client
 from seamlb.net.connection import MAX_UNSENT_CLIENT
 from seamlb.net.descriptors import CLIENT_LEAST, OWN, for_clients, for_operators
-from seamlb.net.dial import ConnectFailed, connect
+from seamlb.net.dial import ConnectError, connect
 from seamlb.net.reason import CloseReason
 from tests.http_peers import Stand, http, notices
 from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, invite, plain
@@ -95,7 +95,7 @@
 class Exhausted(Story):
     async def test_a_connection_without_a_descriptor_is_one_that_never_came_up(self) -> None:
         none_left = OSError(errno.EMFILE, "Too many open files")
-        with mock.patch("socket.socket", side_effect=none_left), self.assertRaises(ConnectFailed) as failed:
+        with mock.patch("socket.socket", side_effect=none_left), self.assertRaises(ConnectError) as failed:
             await connect("127.0.0.1:9", "desk", 1.0)
         self.assertIs(failed.exception.reason, CloseReason.LIMIT)
         self.assertEqual([one["reason"] for one in self.events("connection_end")], ["limit"])
--- a/tests/test_desk_silence.py
+++ b/tests/test_desk_silence.py
@@ -7,7 +7,7 @@
 from seamlb.daemon import Daemon
 from seamlb.desks.platform import QUIET, RETRY_MOST, UNREACHABLE
 from seamlb.net.connection import Connection
-from seamlb.net.dial import ConnectFailed
+from seamlb.net.dial import ConnectError
 from seamlb.net.reason import CloseReason
 from seamlb.protocol.sip import Message
 from tests.loopback import SDP, Peer, ScriptedDesk, Story, bye, invite, silent
@@ -85,7 +85,7 @@
                 async def connect(
                     address: str, kind: str, within: float, left: list[CloseReason] = left
                 ) -> Connection:
-                    raise ConnectFailed(left.pop(0) if len(left) > 1 else left[0])
+                    raise ConnectError(left.pop(0) if len(left) > 1 else left[0])
 
                 with mock.patch("seamlb.desks.platform.connect", connect):
                     await self.eventually(lambda left=left: len(left) == 1)
@@ -98,7 +98,7 @@
         desk, daemon, caller = await self.standing()
 
         async def connect(address: str, kind: str, within: float) -> Connection:
-            raise ConnectFailed(CloseReason.CONNECT_TIMEOUT)
+            raise ConnectError(CloseReason.CONNECT_TIMEOUT)
 
         link = daemon.desks.links["d0"]
         with mock.patch("seamlb.desks.platform.connect", connect):
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -14,7 +14,7 @@
 from seamlb.planning.follow import DEADBAND, SETTLE_MS, STEP_MOST, Followed, Guide
 from seamlb.planning.model import Objective, Plan, Problem
 from seamlb.planning.repair import Cold, DeskState, Repair, permille, room, towards
-from seamlb.planning.solve import Infeasible, solve
+from seamlb.planning.solve import InfeasibleError, solve
 from seamlb.routing.model import Desk
 from tests.exhaustive import random_problem
 from tests.support import RAW
@@ -59,7 +59,7 @@
         problem = random_problem(seed)
         try:
             plan = solve(problem)
-        except Infeasible:
+        except InfeasibleError:
             continue
         for lost in ("", *sorted({desk for desk, _ in plan.placement})):
             same = fixed(problem, plan, lost)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.known_red import CHECKS, FILE, MOST, ROOT, BadKnownRed, KnownRed, missing, parse
+from tests.known_red import CHECKS, FILE, MOST, ROOT, KnownRed, KnownRedError, missing, parse
 
 LINE = "tests/test_known_red.py::test_a | a cause | issue 1"
 
@@ -24,7 +24,7 @@
 
 @pytest.mark.parametrize("text", ["tests/test_a.py::test_a", "a | b", "a | | c", "\n".join([LINE] * (MOST + 1))])
 def test_a_list_that_is_not_of_the_form_or_too_long_is_turned_down(text: str) -> None:
-    with pytest.raises(BadKnownRed):
+    with pytest.raises(KnownRedError):
         parse(text)
 
 
@@ -53,7 +53,17 @@
     (folder / "KNOWN-RED.txt").write_text(known_red)
     outside = {name: value for name, value in os.environ.items() if not name.startswith("PYTEST_")}
     return subprocess.run(
-        [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", "--pass-over-known-red", "tests"],
+        [
+            sys.executable,
+            "-m",
+            "pytest",
+            "-p",
+            "no:cacheprovider",
+            "--pass-over-known-red",
+            "--rootdir",
+            ".",
+            "tests",
+        ],
         cwd=folder,
         env=outside,
         capture_output=True,
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -8,7 +8,7 @@
 
 from seamlb.members.shares import HOLD, Shares
 from seamlb.members.swim import HEALTH_MOST, STALL, TOMBS, TWIN
-from seamlb.members.wire import MOST, SKEW, WINDOW, Bad, Datagram, Guard, Item, Kind, Status, decode
+from seamlb.members.wire import MOST, SKEW, WINDOW, Datagram, DatagramError, Guard, Item, Kind, Status, decode
 from tests.gossip import EPOCH, KEY, Network
 
 
@@ -51,7 +51,7 @@
         for keys in (KEY, None):
             try:
                 decode(data, keys)
-            except Bad:
+            except DatagramError:
                 continue
 
     def test_what_is_not_taken_is_counted_and_said_once_a_window(self) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,7 @@
 from seamlb.daemon import Daemon
 from seamlb.net import connection
 from seamlb.net.connection import Connection
-from seamlb.net.dial import ConnectFailed, connect
+from seamlb.net.dial import ConnectError, connect
 from seamlb.net.listener import Listener
 from seamlb.net.reason import CloseReason
 from seamlb.routing.agent import Clock
@@ -102,11 +102,11 @@
     async def test_connections_that_never_come_up(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as free:
             address = "{}:{}".format(*free.getsockname())
-        with self.assertRaises(ConnectFailed) as failed:
+        with self.assertRaises(ConnectError) as failed:
             await connect(address, "t", 5.0)
         self.assertEqual(failed.exception.reason, CloseReason.REFUSED)
-        with deaf() as address:
-            with self.assertRaises(ConnectFailed) as failed:
+        with Deaf() as address:
+            with self.assertRaises(ConnectError) as failed:
                 await connect(address, "t", 0.1)
             self.assertEqual(failed.exception.reason, CloseReason.CONNECT_TIMEOUT)
         self.assertEqual(self.reasons(), ["refused", "connect_timeout"])
@@ -123,7 +123,7 @@
         self.assertEqual((await other.next()).status, 200)
 
 
-class deaf:
+class Deaf:
     """An address that lets nobody in: its queue of connections is full, and nothing is accepted."""
 
     def __enter__(self) -> str:
@@ -146,7 +146,7 @@
 class Unreachable(Story):
     async def test_a_desk_that_lets_nobody_in_costs_its_connect_time_and_nothing_ran(self) -> None:
         daemon = await self.start()
-        with deaf() as address:
+        with Deaf() as address:
             daemon.agent.list_changed(api.Scope.DELTA, [self.desk(0, address)])
             self.warm(daemon, 0)
             seen: list[api.Event] = []
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -18,7 +18,7 @@
 from seamlb.planning.files import load_plan, load_problem, plan_text, save_plan
 from seamlb.planning.model import Kind, Office, Plan, PlanDesk, PlanningError, Problem, check_problem
 from seamlb.planning.program import Rule
-from seamlb.planning.solve import Infeasible, conflict, feasible, solve
+from seamlb.planning.solve import InfeasibleError, conflict, feasible, solve
 from seamlb.planning.words import conflict_lines
 from tests.exhaustive import best, random_problem
 
@@ -46,7 +46,7 @@
     true = best(problem)
     try:
         plan = solve(problem)
-    except Infeasible:
+    except InfeasibleError:
         assert true is None, f"seed {seed}: a plan exists"
         return False
     assert true is not None, f"seed {seed}: no plan exists"
@@ -121,7 +121,7 @@
 def test_desk_without_agents_gets_nothing() -> None:
     plan = solve(problem(desk("x", agents=0), desk("y")))
     assert plan.placement == {("y", "a")}
-    with pytest.raises(Infeasible):
+    with pytest.raises(InfeasibleError):
         solve(problem(desk("x", agents=0, pinned=frozenset("a"))))
 
 
@@ -154,7 +154,7 @@
     assert over.flows.supply["a", "d0", "o"] == (room, 0) and over.objective.worth == full.objective.worth
     floor = (Office("o", 1000, 1000),)
     assert solve(problem(desk("x"), load=room, offices=floor)).status == "optimal"
-    with pytest.raises(Infeasible):
+    with pytest.raises(InfeasibleError):
         solve(problem(desk("x"), load=room + 1, offices=floor))
 
 
@@ -163,12 +163,12 @@
     assert solve(problem(*both)).status == "optimal"
     needs = Kind("a", 2, 10_000, "loss", target_ppm=500_000, districts=2)
     tight = problem(*both, kinds=(needs, Kind("b", 1, 10_000)))
-    with pytest.raises(Infeasible):
+    with pytest.raises(InfeasibleError):
         solve(tight)
     lines = conflict_lines(tight, conflict(tight))
     assert "a needs 2 districts; only d0 may have it" in lines
     survive = replace(needs, districts=1, survive="desk")
-    with pytest.raises(Infeasible):
+    with pytest.raises(InfeasibleError):
         solve(problem(*both, kinds=(survive, Kind("b", 1, 10_000))))
 
 
@@ -178,7 +178,7 @@
         {"pinned": frozenset("ab"), "most_classes": 1},
         {"pinned": frozenset("b"), "skills": frozenset("a")},
     ):
-        with pytest.raises(Infeasible):
+        with pytest.raises(InfeasibleError):
             solve(made := problem(desk("x", **change)))
         made = problem(desk("x", **change))
         told = conflict(made)
@@ -195,7 +195,7 @@
     assert one.objective.worth == 400 and one.objective.moves == 1
     # A plan in force that is against the rules itself has to be left, which may take more moves than allowed.
     bad = frozenset({("x", "a"), ("y", "a")})
-    with pytest.raises(Infeasible):
+    with pytest.raises(InfeasibleError):
         solve(problem(desk("x", forbidden=frozenset("a")), desk("y", forbidden=frozenset("a")), current=bad, moves=1))
     assert solve(problem(desk("x", forbidden=frozenset("a")), desk("y"), current=bad, moves=1)).objective.moves == 1
 
--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -8,11 +8,11 @@
 import pytest
 import wasmtime
 
-from seamlb.plugins.abi import SECTION, BadModule, Engine, Fault, custom_section, read_manifest
+from seamlb.plugins.abi import SECTION, Engine, ModuleError, PluginError, custom_section, read_manifest
 from seamlb.plugins.chain import PROBATION_MS, QUEUE, SHADOW_CALLS, Chain
 from seamlb.plugins.checking import compile_text
 from seamlb.plugins.engine import MEMORY, WasmEngine
-from seamlb.plugins.host import Denied, Facts, Grant, Plugin
+from seamlb.plugins.host import Facts, Grant, GrantError, Plugin
 from seamlb.plugins.machine import Interpreter
 from seamlb.plugins.supervisor import FAULTS, FIRST_MS, SAMPLE, TRIALS, Health, Supervisor
 from seamlb.plugins.wasm import unsigned
@@ -119,7 +119,7 @@
         try:
             plugin.ask(0.0, "classify", Facts(), {}, 10_000)
             told.append("ok")
-        except Fault as error:
+        except PluginError as error:
             told.append(error.kind)
     assert told == ["ok", "trap"] * 4
 
@@ -134,7 +134,7 @@
         assert len(runs) == 1
         (used,) = runs
         engine.run(0, [5.0], used)
-        with pytest.raises(Fault, match="fuel"):
+        with pytest.raises(PluginError, match="fuel"):
             engine.run(0, [5.0], used - 1)
 
 
@@ -143,7 +143,7 @@
     engine = WasmEngine(grows, 1)
     engine.run(0, [1.0], 10_000)
     assert engine.memory.data_len(engine.store) <= MEMORY
-    with pytest.raises(BadModule):
+    with pytest.raises(ModuleError):
         WasmEngine(module("(i32.const 0)", memory='(memory (export "memory") 60000)'), 1)
 
 
@@ -166,7 +166,7 @@
     ],
 )
 def test_a_module_that_does_not_fit_is_one_line(data: bytes, says: str) -> None:
-    with pytest.raises(BadModule) as caught:
+    with pytest.raises(ModuleError) as caught:
         wasm(data)
     assert says in str(caught.value) and "\n" not in str(caught.value)
 
@@ -177,7 +177,7 @@
         (Grant(points=frozenset({"admit"})), "answers on classify"),
         (Grant(facts=frozenset({"class"})), "reads office"),
     ):
-        with pytest.raises(Denied, match=says):
+        with pytest.raises(GrantError, match=says):
             rules(text, grant=grant)
     rules(text, grant=Grant(points=frozenset({"classify"}), facts=frozenset({"office"})))
 
@@ -246,7 +246,7 @@
     class Late:
         def run(self, point: int, inputs: Any, fuel: int) -> tuple[list[tuple[int, float]], int]:
             if point == 1:
-                raise Fault("trap")
+                raise PluginError("trap")
             return [(0, 1.0)], 1
 
     program = compile_text("plugin p version 1\nrule c on classify then precedence\nrule a on admit then spare")
--- a/tests/test_relations.py
+++ b/tests/test_relations.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from seamlb.agree.charter import Charter, Field, WrongCharter, decode
+from seamlb.agree.charter import Charter, CharterError, Field, decode
 from seamlb.agree.relations import KINDS
 from tests.council import founding
 
@@ -51,7 +51,7 @@
     relation = KINDS[kind]
     try:
         Charter(1, "", ("a",), tuple(WHO), {"rule": Field(kind, value, alone)})
-    except WrongCharter as error:
+    except CharterError as error:
         assert str(error).startswith("rule: ")
     else:
         assert all(relation.keeps(who, alone, value) for who in WHO)
@@ -76,7 +76,7 @@
     ],
 )
 def test_a_value_that_its_kind_cannot_have_is_refused(kind: str, value: Any) -> None:
-    with pytest.raises(WrongCharter, match="^rule: "):
+    with pytest.raises(CharterError, match="^rule: "):
         Charter(1, "", ("a",), ("a",), {"rule": Field(kind, value, value)})
 
 
@@ -84,7 +84,7 @@
     first = founding(5, 3)
     assert decode(first.body).digest == first.digest
     for spoilt in (b"", b"{}", first.body[:-1], first.body + b" ", b"[]"):
-        with pytest.raises(WrongCharter):
+        with pytest.raises(CharterError):
             decode(spoilt)
 
 
@@ -97,7 +97,7 @@
     assert "never change" in Charter(2, first.digest, first.council, first.agents, fields).follows(first)
     del fields["limit"]
     assert "never goes" in Charter(2, first.digest, first.council, first.agents, fields).follows(first)
-    with pytest.raises(WrongCharter, match="limit: below 10"):
+    with pytest.raises(CharterError, match="limit: below 10"):
         first.next(limit=5)
-    with pytest.raises(WrongCharter, match="unknown field"):
+    with pytest.raises(CharterError, match="unknown field"):
         first.next(other=5)
--- a/tests/test_rule_language.py
+++ b/tests/test_rule_language.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from seamlb.cli import main
-from seamlb.plugins.abi import BadModule, custom_section, read_manifest
+from seamlb.plugins.abi import ModuleError, custom_section, read_manifest
 from seamlb.plugins.checking import POINTS, Program, compile_text
 from seamlb.plugins.engine import WasmEngine
 from seamlb.plugins.language import RuleError, parse
@@ -188,18 +188,18 @@
             del data[rng.randrange(8, len(data)) :]
         place = rng.randrange(8, max(9, len(data)))
         data[place : place + rng.randint(0, 2)] = rng.randbytes(rng.randint(0, 3))
-    from seamlb.plugins.abi import Fault
+    from seamlb.plugins.abi import PluginError
 
     try:
         manifest = read_manifest(custom_section(bytes(data)))
         engine = WasmEngine(bytes(data), len(manifest.inputs))
-    except BadModule as error:
+    except ModuleError as error:
         assert "\n" not in str(error)
         return
     for point in range(len(POINTS)):
         try:
             engine.run(point, [1.0] * len(manifest.inputs), 10_000)
-        except Fault as error:
+        except PluginError as error:
             assert error.kind in ("fuel", "trap", "answers", "start")
 
 
