--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -7,7 +7,6 @@
 import itertools
 import json
 import os
-import random
 import signal
 import sys
 import unittest
@@ -22,13 +21,14 @@
 from seamlb.protocol.sip import Message
 from tests.http_peers import Stand, http
 from tests.injector import Injector
-from tests.loopback import PATIENCE, Peer, ScriptedDesk, answer, invite, plain
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, answer
 from tests.processes import log_events
 from tests.support import RAW
 
 ROOT = Path(__file__).resolve().parent.parent
+
+
 GOOD = (sys.executable, "-m", "seamlb")
-WITHIN = 6.0  # seconds for a final answer: the longest that a caller here is patient
 
 
 def bad(*way: str) -> tuple[str, ...]:
@@ -55,55 +55,6 @@
     test.assertEqual(told.output.count("\n"), 1, told.output)
 
 
-class Callers:
-    """Open-loop callers, a connection each: what became of every call."""
-
-    def __init__(self, listens: Sequence[str], rate: float, seed: int = 1, dests: int = 1) -> None:
-        self.dests = dests  # pools of first choice
-        self.listens, self.rate, self.rng = listens, rate, random.Random(seed)
-        self.ends: Counter[str] = Counter()  # fulfilled, refused, failed, lost, doubled
-        self.kinds: Counter[tuple[str, str]] = Counter()
-        self.lost: list[str] = []
-        self.tasks: set[asyncio.Task[None]] = set()
-        self.task = asyncio.create_task(self._run())
-
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(self.rng.expovariate(self.rate))
-            task = asyncio.create_task(self._call(self.rng.choice(self.listens)))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-    async def _call(self, listen: str) -> None:
-        ident, kind = f"{self.rng.getrandbits(64):016x}", self.rng.choice("ab")
-        peer = None
-        try:
-            async with asyncio.timeout(WITHIN):
-                peer = await Peer.dial(listen)
-                peer.send(invite(ident, dest=self.rng.randrange(self.dests), timer=3000, kind=kind))
-                final = await peer.next()
-                if final.status == 200:
-                    peer.send(plain("ACK", ident))
-                    await asyncio.sleep(0.02)
-                    peer.send(plain("BYE", ident))
-            end = {200: "fulfilled", 503: "refused", 500: "failed"}.get(final.status, str(final.status))
-            if any(one.status and one.get("call-id") == ident and one.cseq()[1] == "INVITE" for one in peer.ready):
-                end = "doubled"
-        except (OSError, EOFError, TimeoutError) as error:
-            end = "lost"
-            self.lost.append(f"{ident} {kind} at {listen}: {error!r}")
-        finally:
-            if peer:
-                peer.close()
-        self.ends[end] += 1
-        self.kinds[kind, end] += 1
-
-    async def stop(self) -> None:
-        """Ask no more, and wait for what is open."""
-        self.task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-
-
 class Fleet:
     """Agents a0, a1, ... each with its keeper; `injectors` are between conductors and keepers."""
 
--- /dev/null
+++ b/tests/floods.py
@@ -0,0 +1,73 @@
+"""A plan of the example flood, and a guide that follows it."""
+
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from seamlb import api
+from seamlb.planning.files import load_problem
+from seamlb.planning.follow import Followed, Guide
+from seamlb.planning.model import Plan, Problem
+from seamlb.planning.repair import Cold
+from seamlb.routing.model import Desk
+from tests.support import RAW
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+FLOOD = load_problem(ROOT / "examples/plan/flood.toml")
+
+
+NAMES = sorted(FLOOD.desk)
+
+
+COLD = Cold(0.3, 14_000.0)
+
+
+def fixed(problem: Problem, plan: Plan, lost: str = "") -> Problem:
+    """The problem whose only placement is the plan's; a lost desk can't carry anything."""
+    given = problem.given(plan.placement)
+    desks = tuple(
+        replace(
+            d,
+            pinned=frozenset(given.get(d.name, ())),
+            forbidden=d.skills - frozenset(given.get(d.name, ())),
+            most_classes=0,
+            rate_milli=0 if d.name == lost else d.rate_milli,
+        )
+        for d in problem.desks
+    )
+    return replace(
+        problem,
+        desks=desks,
+        budget=None,
+        moves=None,
+        kinds=tuple(replace(k, desks=0, districts=0) for k in problem.kinds),
+        offices=tuple(replace(o, floor=0) for o in problem.offices),
+    )
+
+
+def settings(**change: Any) -> api.Settings:
+    classes = [{"Name": name, "OnTime": 5000.0, "Deadline": 15000.0, "Worth": 1.0} for name in sorted(FLOOD.kind)]
+    tenants = [{"Name": o.name, "AllowancePerS": 1.0} for o in FLOOD.offices]
+    raw = RAW | {"Classes": classes, "Tenants": tenants} | change
+    return api.Settings.from_mapping(raw)
+
+
+def desks(*names: str, since: float = 0.0, phase: int = 1) -> list[Desk]:
+    return [Desk(name, "", 0, NAMES.index(name), phase, since) for name in names]
+
+
+def guide(plan: Plan, *names: str, until: float = float("inf")) -> Guide:
+    made = Guide(settings(), tuple(o.name for o in FLOOD.offices))
+    made.listed(0.0, desks(*(names or NAMES)))
+    made.adopt(0.0, Followed(FLOOD, plan, "szeged", until))
+    return made
+
+
+def drawn(made: Guide, now: float, kind: str, count: int = 2000) -> dict[str, int]:
+    out: dict[str, int] = {}
+    for number in range(count):
+        name = NAMES[made.first_choice(now, kind, b"%d" % number, 99)]
+        out[name] = out.get(name, 0) + 1
+    return out
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,11 +13,13 @@
 from seamlb import api
 from seamlb.config import Config, Told, read
 from seamlb.daemon import Daemon
-from seamlb.protocol.sip import Framer, Message, parse_datagram
+from seamlb.protocol.sip import Framer, Message
 from seamlb.routing.model import Desk
 from tests.support import RAW
 
 PATIENCE = 20.0  # only ends a test that hangs; no test measures it
+
+
 SDP = b"v=0 \xff\x00 byte for byte\r\n"
 
 
@@ -68,38 +70,6 @@
         self.writer.transport.abort()
 
 
-class Udp(asyncio.DatagramProtocol):
-    """A scripted peer's UDP socket, with the calls of `Peer`."""
-
-    def __init__(self) -> None:
-        self.got: asyncio.Queue[tuple[Message, Any]] = asyncio.Queue()
-        self.address, self.source = "", ("", 0)
-
-    @classmethod
-    async def bind(cls, target: str = "127.0.0.1:9") -> Udp:
-        loop = asyncio.get_running_loop()
-        transport, peer = await loop.create_datagram_endpoint(cls, local_addr=("127.0.0.1", 0))
-        peer.transport, peer.address = transport, "{}:{}".format(*transport.get_extra_info("sockname"))
-        host, _, port = target.rpartition(":")
-        peer.source = (host, int(port))
-        return peer
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:
-        self.got.put_nowait((parse_datagram(data), addr))
-
-    def send(self, message: Message | bytes) -> None:
-        self.transport.sendto(message if isinstance(message, bytes) else message.encode(), self.source)
-
-    async def next(self) -> Message:
-        message, self.source = await asyncio.wait_for(self.got.get(), PATIENCE)
-        return message
-
-    until = Peer.until
-
-    def close(self) -> None:
-        self.transport.close()
-
-
 Script = Callable[[Peer, Message], Awaitable[None]]
 
 
--- a/tests/sip_peers.py
+++ b/tests/sip_peers.py
@@ -10,7 +10,8 @@
 from seamlb.extras import Plugins, SipDesksConfig
 from seamlb.protocol.sip import Message, parameter, response
 from seamlb.sip.settings import SipFrontConfig
-from tests.loopback import SDP, Peer, Story, Udp, config
+from tests.loopback import SDP, Peer, Story, config
+from tests.udp_peer import Udp
 
 
 class SipCaller:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,7 +15,8 @@
 from seamlb.net.reason import CloseReason
 from seamlb.routing.agent import Clock
 from seamlb.routing.model import Desk
-from tests.loopback import Peer, ScriptedDesk, Story, Udp, config, invite, plain, silent
+from tests.loopback import Peer, ScriptedDesk, Story, config, invite, plain, silent
+from tests.udp_peer import Udp
 
 
 class Ends(Story):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,11 +1,8 @@
 """The platform's front: calls, releases and callers between scripted servers."""
 
-import asyncio
-from unittest import mock
-
 from seamlb import api
 from seamlb.protocol.sip import Message
-from tests.loopback import PATIENCE, SDP, Peer, ScriptedDesk, Story, bye, invite, plain, refuse, reply, silent
+from tests.loopback import SDP, Peer, ScriptedDesk, Story, bye, invite, plain, refuse, reply, silent
 
 ID = "00000000000000a1"
 
@@ -56,29 +53,6 @@
                 (ended,) = [one for one in seen if isinstance(one, api.Ended)]
                 self.assertEqual((ended.status, ended.note), ends)
 
-    @mock.patch("seamlb.desks.reader.PART_WITHIN", PATIENCE)  # on a busy machine a dripping answer takes longer
-    async def test_a_whole_exchange_in_single_bytes(self) -> None:
-        async def drip(peer: Peer, *messages: Message) -> None:
-            for data in (message.encode() for message in messages):
-                for place in range(len(data)):
-                    peer.send(data[place : place + 1])
-                    await asyncio.sleep(0)
-
-        async def script(peer: Peer, message: Message) -> None:
-            await drip(peer, reply(message, 100), reply(message, 200, body=SDP), bye(message.get("call-id"), 16))
-
-        daemon = await self.start(ScriptedDesk(script))
-        tasks = len(asyncio.all_tasks())
-        caller = await self.caller()
-        for ident in (ID, "00000000000000a2"):
-            await drip(caller, invite(ident), plain("OPTIONS", "t"))
-            told = [await caller.next() for _ in range(3)]
-            self.assertEqual({(one.method, one.status) for one in told}, {("", 200), ("BYE", 0)})
-            self.assertIn(SDP, [one.body for one in told])
-        caller.close()
-        await self.eventually(lambda: not daemon.front.clients and not daemon.agent.lives)
-        await self.eventually(lambda: len(asyncio.all_tasks()) == tasks)
-
     async def test_a_call_that_is_over_before_its_answer_came_is_not_set_up_again(self) -> None:
         """Seen: the desk's answer was late, its release came first, and a second desk got a call that was over."""
 
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -1,14 +1,40 @@
 """The platform's front: faults, and input that is malformed, doubled or another's."""
 
+import asyncio
+from unittest import mock
+
 from seamlb import api
 from seamlb.protocol.sip import Message
-from tests.loopback import SDP, ScriptedDesk, Story, invite, plain, silent
+from tests.loopback import PATIENCE, SDP, Peer, ScriptedDesk, Story, bye, invite, plain, reply, silent
 from tests.support import RAW
 
 ID = "00000000000000a1"
 
 
 class Faults(Story):
+    @mock.patch("seamlb.desks.reader.PART_WITHIN", PATIENCE)  # on a busy machine a dripping answer takes longer
+    async def test_a_whole_exchange_in_single_bytes(self) -> None:
+        async def drip(peer: Peer, *messages: Message) -> None:
+            for data in (message.encode() for message in messages):
+                for place in range(len(data)):
+                    peer.send(data[place : place + 1])
+                    await asyncio.sleep(0)
+
+        async def script(peer: Peer, message: Message) -> None:
+            await drip(peer, reply(message, 100), reply(message, 200, body=SDP), bye(message.get("call-id"), 16))
+
+        daemon = await self.start(ScriptedDesk(script))
+        tasks = len(asyncio.all_tasks())
+        caller = await self.caller()
+        for ident in (ID, "00000000000000a2"):
+            await drip(caller, invite(ident), plain("OPTIONS", "t"))
+            told = [await caller.next() for _ in range(3)]
+            self.assertEqual({(one.method, one.status) for one in told}, {("", 200), ("BYE", 0)})
+            self.assertIn(SDP, [one.body for one in told])
+        caller.close()
+        await self.eventually(lambda: not daemon.front.clients and not daemon.agent.lives)
+        await self.eventually(lambda: len(asyncio.all_tasks()) == tasks)
+
     async def test_a_fault_in_one_life_fails_that_call_alone(self) -> None:
         daemon = await self.start(ScriptedDesk())
         handle = daemon.agent.module.handle
--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -10,7 +10,8 @@
 from pathlib import Path
 from typing import Any
 
-from tests.fleet import Callers, Fleet, bad
+from tests.callers import Callers
+from tests.fleet import Fleet, bad
 
 RATE = 80.0  # calls a second over the whole fleet
 SURE = {"false_stop": 1e-6}  # where two equal versions must not be told apart, however loaded the machine is
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -3,8 +3,9 @@
 import asyncio
 
 from seamlb.protocol.sip import Message, parameter
-from tests.loopback import SDP, Peer, Udp
+from tests.loopback import SDP, Peer
 from tests.sip_peers import SipCaller, SipStory
+from tests.udp_peer import Udp
 
 MIX = ("ok1", "486", "480", "504", "500", "ok2", "ok3", "503", "slow")  # what makes the module gap comes last
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -3,7 +3,7 @@
 import unittest
 
 from seamlb.routing.model import Availability, Desk, Status
-from seamlb.zones.fleet import HOLD, OUT, RAMP, SLOT, TRICKLE, Paces, State, Vote, Zones
+from seamlb.zones.fleet import HOLD, OUT, RAMP, TRICKLE, State, Vote, Zones
 from seamlb.zones.overlay import Overlay
 from seamlb.zones.sight import LOOK, WINDOW, Sight
 from tests.zoned import BEARS, ZonedFleet
@@ -100,32 +100,6 @@
             self.assertEqual(Vote.decode(text), Vote())
 
 
-class Pacing(unittest.TestCase):
-    def test_slots_of_a_whole_fleet_never_come_at_once(self) -> None:
-        """Every agent would send at any moment: what a desk gets in any 1.5 s stays at what it bears."""
-        for agents in (1, 5, 200):
-            rate, paces = 20.0, [Paces() for _ in range(agents)]
-            sent, now = [], 0.0
-            while now < 30.0:
-                now += 0.02
-                for number, one in enumerate(paces):
-                    if one.may(now, "d", rate / agents, number / agents):
-                        one.sent("d")
-                        sent.append(now)
-            most = max(sum(at <= other < at + 1.5 for other in sent) for at in sent[::7])
-            self.assertLessEqual(most / (rate * 1.5), 1.0)
-            self.assertGreater(len(sent), 0.6 * rate * 30.0)
-
-    def test_a_slot_that_is_not_used_is_lost(self) -> None:
-        paces = Paces()
-        for step in range(1000):
-            paces.may(step / 10, "d", 0.1, 0.5)
-        opened = next(step for step in range(1000, 2000) if paces.may(step / 10, "d", 0.1, 0.5)) / 10
-        self.assertTrue(paces.may(opened + SLOT - 0.01, "d", 0.1, 0.5))
-        paces.sent("d")
-        self.assertFalse(paces.may(opened + SLOT - 0.005, "d", 0.1, 0.5))
-
-
 class Overlays(unittest.TestCase):
     def test_the_module_is_told_of_a_zone_that_is_left_and_returned_to(self) -> None:
         overlay = Overlay(("x", "y"), 1, BEARS, 1.5)
--- a/tests/test_zones_daemon.py
+++ b/tests/test_zones_daemon.py
@@ -12,7 +12,8 @@
 
 from seamlb.cli import main
 from seamlb.protocol.sip import Message
-from tests.fleet import ROOT, Callers, check_files, own_host
+from tests.callers import Callers
+from tests.fleet import ROOT, check_files, own_host
 from tests.injector import Injector
 from tests.loopback import PATIENCE, Peer, ScriptedDesk, answer
 from tests.processes import log_events
