--- a/seamlb/desks/link.py
+++ b/seamlb/desks/link.py
@@ -87,9 +87,12 @@
             self.wanted.set()
 
     def free_idle(self, reason: CloseReason) -> None:
-        """Close the connections but the newest that carry no set-up."""
+        """Close the connections but the newest that carry no set-up, and no message that is half read or unread.
+
+        A release is sent once: one that was broken off here was lost.
+        """
         for connection in self.open[:-1]:
-            if not self.legs.unanswered(connection):
+            if not self.legs.unanswered(connection) and connection.quiet(0.0):
                 connection.close(reason)
 
     def drop(self) -> None:
@@ -173,5 +176,5 @@
         Guards the set-ups on it, which would wait for their time-outs while the server answers on another one.
         """
         for connection in self.open[:]:
-            if connection.last_read < told - DEAF:
+            if connection.last_read < told - DEAF and not (connection.in_use() or connection.unread()):
                 connection.close(CloseReason.SILENT)
--- a/seamlb/desks/reader.py
+++ b/seamlb/desks/reader.py
@@ -39,6 +39,7 @@
         self.residue = bytearray()  # what came once the connection could not be read any more
         connection.message_within, connection.linger = PART_WITHIN, SALVAGE
         connection.late = self._stopped_short
+        connection.in_use = lambda: bool(self.framer.data)  # a message is half read
 
     async def run(self) -> None:
         """Read until the connection ends."""
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -71,6 +71,13 @@
         except OSError:
             return True
 
+    def unread(self) -> bool:
+        """Have bytes come that the loop has not read yet? They are younger than `last_read`."""
+        try:
+            return not self.closed and bool(self._peek())
+        except OSError:
+            return False
+
     def quiet(self, least: float) -> bool:
         """May it be closed now without breaking anything off, having been silent for `least` seconds?
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -35,6 +35,12 @@
     "Report": {"Fields": ["idle", "circuits", "avg_ms"], "Source": "answers"},
 }
 
+# Aims so far off that the module takes no answer that a busy machine keeps back for a jam.
+PATIENT: dict[str, Any] = {
+    "Classes": [kind | {"OnTime": 8000.0} for kind in RAW["Classes"]],
+    "Extra": RAW["Extra"] | {"Repeat": 0.0},
+}
+
 
 def settings(**change: Any) -> api.Settings:
     """Settings with top-level parts replaced, or merged where both are objects."""
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -1,11 +1,17 @@
 """The platform's server client: connections that are lost, silent or late, and servers that drain or are gone."""
 
+import asyncio
 import socket
+from collections.abc import Callable
 
 from seamlb import api
+from seamlb.desks.keeper import UNREACHABLE
+from seamlb.desks.link import Link
+from seamlb.net.dial import connect
+from seamlb.net.reason import CloseReason
 from seamlb.protocol.sip import Message
 from seamlb.routing.model import Answer, Attempt
-from tests.loopback import SDP, Peer, ScriptedDesk, Story, bye, invite, plain, reply, silent
+from tests.loopback import PATIENCE, SDP, Peer, ScriptedDesk, Story, bye, invite, plain, reply, silent
 
 ID = "00000000000000a1"
 
@@ -126,6 +132,45 @@
         self.assertEqual((await caller.until(200)).body, SDP)
         self.assertEqual([one["reason"] for one in self.events("connection_end")], ["silent"])
 
+    async def release_beside(self, half_read: bool, replace: Callable[[Link], object]) -> None:
+        """A release is half read, or in the socket, as its connection is replaced: it must reach the caller."""
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        await caller.until(200)
+        link = daemon.desks.links["d0"]
+        (first,) = link.open
+        first.message_within = PATIENCE
+        link.open.append(await connect(desk.address, "desk", PATIENCE))
+        release = bye(ID, 16).encode()
+        sent = 40 if half_read else len(release)
+        desk.peers[0].send(release[:sent])
+        if half_read:
+            await self.eventually(first.in_use)
+        replace(link)
+        desk.peers[0].send(release[sent:])
+        self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
+
+    async def test_a_release_on_a_connection_that_is_replaced_reaches_its_caller(self) -> None:
+        # The connection carried no set-up and was closed, and the release, which is sent once, was lost.
+        later = asyncio.get_running_loop().time() + 1.0
+        ways: dict[str, Callable[[Link], object]] = {
+            "it is idle": lambda link: link.free_idle(CloseReason.SILENT),
+            "the state came on another": lambda link: link._close_deaf(later),
+            "there are too many": lambda link: link.keeper._make_room(),
+        }
+        for way, replace in ways.items():
+            for half_read in (True, False):
+                with self.subTest(way=way, half_read=half_read):
+                    await self.release_beside(half_read, replace)
+
+    async def test_a_release_that_came_while_this_process_stood_still_is_read_first(self) -> None:
+        later = asyncio.get_running_loop().time() + 1.0
+        await self.release_beside(
+            False, lambda link: link.keeper._unreachable(CloseReason.SILENT, later + UNREACHABLE)
+        )
+
     async def test_nothing_is_written_to_a_connection_that_the_desk_has_ended_already(self) -> None:
         # A set-up written there might have been read: one that may not be repeated had failed for nothing.
         desk = ScriptedDesk()
