--- a/seamlb/agree/charter.py
+++ b/seamlb/agree/charter.py
@@ -66,10 +66,12 @@
 
     @cached_property
     def digest(self) -> str:
+        """Names this version: a hash of its bytes."""
         return blake2b(self.body, digest_size=16).hexdigest()
 
     @property
     def majority(self) -> int:
+        """How many members are more than half."""
         return len(self.council) // 2 + 1
 
     def next(self, **values: Value) -> Charter:
--- a/seamlb/agree/council.py
+++ b/seamlb/agree/council.py
@@ -63,6 +63,7 @@
 
     @property
     def newest(self) -> Charter:
+        """The newest version that is known to be chosen."""
         return self.kept.newest
 
     def in_force(self) -> bool:
--- a/seamlb/agree/frames.py
+++ b/seamlb/agree/frames.py
@@ -89,6 +89,7 @@
 
     @property
     def partial(self) -> bool:
+        """Has a part of a frame come?"""
         return bool(self.buffer)
 
 
--- a/seamlb/agree/kept.py
+++ b/seamlb/agree/kept.py
@@ -22,6 +22,7 @@
     saved: int = 0
 
     def encode(self) -> bytes:
+        """The record's bytes."""
         return orjson.dumps(
             [
                 self.newest.body.decode(),
--- a/seamlb/agree/link.py
+++ b/seamlb/agree/link.py
@@ -199,6 +199,7 @@
         return self.seat.table() | {"dropped": dict(self.codec.dropped)}
 
     def close(self) -> None:
+        """End all connections and let go of the folder."""
         self.listener.stop()
         for connection in {*self.listener.open, *self.dialled.values()}:
             connection.close(CloseReason.SHUTDOWN)
--- a/seamlb/agree/notes.py
+++ b/seamlb/agree/notes.py
@@ -49,6 +49,7 @@
     before: bytes = b""  # the charter before it
 
     def encode(self) -> bytes:
+        """The message's bytes, before it is signed."""
         return orjson.dumps(
             [
                 int(self.kind),
--- a/seamlb/cli.py
+++ b/seamlb/cli.py
@@ -73,9 +73,11 @@
     """Loads the planner's commands only when they are asked for: serving must not pay for their libraries."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
+        """All sub-commands, without loading those that are loaded late."""
         return sorted([*super().list_commands(ctx), *LAZY])
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """A sub-command; one that needs an extra says so if that is not installed."""
         if cmd_name not in LAZY:
             return super().get_command(ctx, cmd_name)
         module, name, extra = LAZY[cmd_name]
--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -43,6 +43,7 @@
 
     @property
     def tenants(self) -> tuple[str, ...]:
+        """Names of the tenants, in the settings' order."""
         return tuple(self.settings.tenants)
 
     def lacks(self, new: Config) -> str:
--- a/seamlb/desks/sip.py
+++ b/seamlb/desks/sip.py
@@ -64,6 +64,7 @@
     # -- asked by the core --------------------------------------------------------------------
 
     def listed(self, desk: Desk) -> None:
+        """A server is new, has changed or is gone."""
         old = self.desks.pop(desk.ident, None)
         if desk.availability != Availability.GONE:
             self.desks[desk.ident] = desk
@@ -75,6 +76,7 @@
                     leg.heard(leg.attempt.leg, Outcome(Status.RESET, cause=CUT))
 
     def set_up(self, attempt: Attempt, heard: Heard) -> None:
+        """Start an attempt; `heard` is told at most an Answer and then exactly one Outcome."""
         desk = self.desks.get(attempt.desk)
         if desk is None:
             return heard(attempt.leg, Outcome(Status.CONNECT_FAILED))
@@ -95,6 +97,7 @@
         )
 
     def give_up(self, attempt: Attempt) -> None:
+        """Call an attempt off; nothing more is told of it."""
         leg = self.legs.pop((attempt.desk, attempt.request.ident), None)
         if leg:
             leg.wanted = False
@@ -102,6 +105,7 @@
                 self._cancel(leg)
 
     def release(self, attempt: Attempt, cause: int) -> None:
+        """End a call that stands; nothing more is told of it."""
         leg = self.legs.get((attempt.desk, attempt.request.ident))
         if leg:
             self._drop(leg)
@@ -112,6 +116,7 @@
         """Idle connections close by themselves here."""
 
     def close(self) -> None:
+        """Close the sockets."""
         self.endpoint.close()
 
     # -- messages -----------------------------------------------------------------------------
--- a/seamlb/discovery/poller.py
+++ b/seamlb/discovery/poller.py
@@ -67,5 +67,6 @@
         return await connection.run(received)
 
     def close(self, reason: CloseReason) -> None:
+        """End the connection, if one is open."""
         if self.connection:
             self.connection.close(reason)
--- a/seamlb/emulator/audit.py
+++ b/seamlb/emulator/audit.py
@@ -46,6 +46,7 @@
             self.broken.append(f"{rule}: {call}: {facts}")
 
     def asked(self, now: float, call: str, kind: str, patience: float) -> None:
+        """A caller asks for a call, and waits for so long."""
         self.calls[call] = CallSeen(kind, now, patience)
 
     def answered(self, now: float, call: str, status: int) -> None:
@@ -90,9 +91,11 @@
                 one.barred = now
 
     def drains(self, now: float, desk: str) -> None:
+        """The list says that a server drains."""
         self.told[desk] = now
 
     def starts_cold(self, now: float, desk: str, rate: float) -> None:
+        """A server starts, and bears so many set-ups a second at first."""
         self.told.pop(desk, None)
         self.cold[desk] = now, rate
 
--- a/seamlb/emulator/clock.py
+++ b/seamlb/emulator/clock.py
@@ -30,6 +30,7 @@
         super().__init__(self._jump)
 
     def time(self) -> float:
+        """The virtual time in seconds."""
         return self._jump.now
 
 
--- a/seamlb/emulator/loadcallers.py
+++ b/seamlb/emulator/loadcallers.py
@@ -30,6 +30,7 @@
         self.count = 0
 
     async def connect(self) -> None:
+        """Open the socket to the agent."""
         host, _, port = self.address.rpartition(":")
         if self.load.front == "udp":
             transport, _ = await self.loop.create_datagram_endpoint(
@@ -53,12 +54,14 @@
                     self.got(message)
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Take one datagram."""
         try:
             self.got(parse_datagram(data))
         except SipError:
             self.results["unreadable"] += 1
 
     async def run(self) -> None:
+        """Ask for calls at the rate of the load until its time is over."""
         end = self.loop.time() + self.load.seconds
         due = self.loop.time()
         while due < end:
@@ -67,6 +70,7 @@
             self.ask()
 
     def ask(self) -> None:
+        """Ask for one call."""
         site = self.load.site
         (kind,) = self.rng.choices([one.name for one in site.classes], [one.part for one in site.classes])
         (office,) = self.rng.choices([one[0] for one in site.offices], [one[1] for one in site.offices])
@@ -93,6 +97,7 @@
         self.send(Message("INVITE", f"sip:{call}@net", headers=head + facts, body=b"v=0\r\n").encode())
 
     def got(self, message: Message) -> None:
+        """Take a message from the agent."""
         call = message.get("call-id")
         if message.method == "BYE" and self.load.front != "platform":
             self.send(response(message, 200).encode())
@@ -113,6 +118,7 @@
         self.in_time[kind][1] += 1
 
     def acknowledge(self, message: Message, call: str) -> None:
+        """Acknowledge a final answer."""
         if self.load.front == "platform":
             if message.status == 200:
                 self.send(
--- a/seamlb/emulator/loaddesks.py
+++ b/seamlb/emulator/loaddesks.py
@@ -31,6 +31,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> str:
+        """Listen; returns the address."""
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         return "{}:{}".format(*self.server.sockets[0].getsockname())
 
@@ -115,6 +116,7 @@
         self._state(writer)
 
     def fault(self, what: str) -> None:
+        """Begin a fault of the load's timeline."""
         if what == "reset":
             for writer in list(self.writers):
                 writer.transport.abort()
@@ -126,6 +128,7 @@
                 self._state(writer)
 
     async def stop(self) -> None:
+        """Stop listening and end what is open."""
         self.server.close()
         for task in list(self.tasks):
             task.cancel()
@@ -142,10 +145,12 @@
         self.on_told: Callable[[list[dict[str, Any]]], None] = lambda members: None
 
     async def start(self) -> str:
+        """Listen; returns the address."""
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         return "{}:{}".format(*self.server.sockets[0].getsockname())
 
     def tell(self, member: dict[str, Any]) -> None:
+        """Send news of one server to all who poll."""
         self.rev += 1
         self.changed = [member]
         self.news.set()
--- a/seamlb/emulator/run.py
+++ b/seamlb/emulator/run.py
@@ -163,6 +163,7 @@
         self.anywhere = {kind: StickyDraw({d: u or 1 for d, u in one.items()}) for kind, one in spread.items()}
 
     def now(self) -> float:
+        """The virtual time in milliseconds."""
         return self.loop.time() * 1000.0
 
     def _agent(self, place: int, district: str) -> None:
@@ -204,6 +205,7 @@
         return PluginAdvisor(chain, told, names, self.now)
 
     def far(self, district: str, desk: str) -> float:
+        """Seconds that a message takes between a district and a server."""
         return self.problem.time(district, self.problem.desk[desk].district) / 1e6 + 0.0005
 
     def holding(self, request: Request, desk: str) -> float:
@@ -225,6 +227,7 @@
             agent.list_changed(api.Scope.FULL, listed)
 
     def trouble(self, one: Trouble) -> None:
+        """Begin one trouble of the scenario."""
         desk = self.desks.get(one.desk)
         if desk is None:
             return  # this policy never opened it
@@ -294,6 +297,7 @@
             person.call()
 
     async def play(self) -> Result:
+        """Play the run to its end."""
         self.push()
         for one in self.scenario.troubles:
             self.loop.call_later(one.at, self.trouble, one)
@@ -312,6 +316,7 @@
         return self.result()
 
     def result(self) -> Result:
+        """What the run has come to."""
         # Every class has its figure, also one without a call in a short run.
         got = {name: [0.0, 0.0] for name in ("", *(k.name for k in kinds(self.problem)))}
         rooms = {name: [0.0, 0.0] for name in (o.name for o in self.problem.offices)}
--- a/seamlb/emulator/world.py
+++ b/seamlb/emulator/world.py
@@ -73,6 +73,7 @@
         return self.rate * grown / self.slow
 
     def work(self, part: float, then: Callable[[], None], urgent: bool = False) -> None:
+        """Queue a part of processor work; `then` is called when it is done."""
         (self.urgent if urgent else self.waiting).append((part, then))
         self._next()
 
@@ -97,6 +98,7 @@
     # -- calls ------------------------------------------------------------------------------------
 
     def arrive(self, job: Job, holding: float) -> None:
+        """A set-up comes; the call will hold a person for `holding` seconds."""
         if not self.up:
             return self._tell(job, Outcome(api.Status.CONNECT_FAILED))
         self._overload()
@@ -173,6 +175,7 @@
     # -- troubles ---------------------------------------------------------------------------------
 
     def crash(self) -> None:
+        """End the process: all its calls are cut."""
         self.up, self.epoch, self.busy = False, self.epoch + 1, False
         jobs, self.jobs, self.free = list(self.jobs.values()), {}, self.agents
         self.urgent.clear()
@@ -182,10 +185,12 @@
             self._tell(job, Outcome(api.Status.RESET))
 
     def restart(self) -> None:
+        """Start a new, cold process."""
         self.up, self.hung, self.cold_from = True, False, self.loop.time()
         self.sent.clear()
 
     def hang(self, hung: bool) -> None:
+        """Stop working, or go on."""
         self.hung = hung
         self._next()
 
@@ -205,6 +210,7 @@
         """Nothing is kept of the list: an attempt names its desk."""
 
     def set_up(self, attempt: Attempt, heard: Heard) -> None:
+        """Start an attempt; it arrives after the way to its server."""
         desk, far = self.desks[attempt.desk], self.far(attempt.desk)
         key = attempt.request.ident, attempt.leg
         if attempt.request.ident in self.out:
@@ -225,12 +231,14 @@
         asyncio.get_running_loop().call_later(far, desk.arrive, job, holding)
 
     def give_up(self, attempt: Attempt) -> None:
+        """Call an attempt off."""
         if found := self.jobs.pop((attempt.request.ident, attempt.leg), None):
             job, desk = found
             self.out.discard(attempt.request.ident)
             asyncio.get_running_loop().call_later(job.far, desk.leave, job)
 
     def release(self, attempt: Attempt, cause: int) -> None:
+        """End a call that stands."""
         self.give_up(attempt)
 
     def free(self, desk: str) -> None:
@@ -254,6 +262,7 @@
     answers: list[str] = field(default_factory=list)  # of this try: never more than one
 
     def call(self) -> None:
+        """Ask the agent for the call."""
         self.answers.clear()
         self.life = self.agent.take(self.request, self)
         if self.life is not None:
@@ -276,19 +285,23 @@
             self.timer = None
 
     def stands(self, description: bytes) -> bool:
+        """The call stands."""
         self._over("stands")
         self.stood = asyncio.get_running_loop().time() - self.first
         return True
 
     def refused(self, back_off_ms: float) -> None:
+        """The call was refused; the person may try again later."""
         self._over("refused")
         self._again(back_off_ms / 1000.0)
 
     def failed(self) -> None:
+        """The call failed; the person may try again."""
         self._over("failed")
         self._again(0.0)
 
     def released(self, cause: int) -> None:
+        """The call that stood is over."""
         self.cut = cause != 16
 
     def _again(self, wait: float) -> None:
--- a/seamlb/fronts/calls.py
+++ b/seamlb/fronts/calls.py
@@ -40,6 +40,7 @@
         return self.client.connection.send(message.encode())
 
     def stands(self, description: bytes) -> bool:
+        """Pass the answer on; False if the caller can no longer be told."""
         told = self._final(response(self.invite, 200, body=description))
         if told:
             self.client.connection.credit = SERVED
@@ -47,11 +48,14 @@
         return told
 
     def refused(self, back_off_ms: float) -> None:
+        """Answer 503, with the time to come back after if there is one."""
         extra = [("Retry-After", str(math.ceil(back_off_ms / 1000.0)))] if back_off_ms > 0 else []
         self._final(response(self.invite, 503, *extra))
 
     def failed(self) -> None:
+        """Answer 500."""
         self._final(response(self.invite, 500))
 
     def released(self, cause: int) -> None:
+        """Tell the caller that the call that stood is over."""
         self.front.release(self.ident, cause, self.client)
--- a/seamlb/fronts/management.py
+++ b/seamlb/fronts/management.py
@@ -32,9 +32,11 @@
         self.listener = Listener(kind, most, self._serve)
 
     def start(self) -> None:
+        """Listen."""
         self.listener.start_at(self.address)
 
     def close(self) -> None:
+        """Stop listening and end what is open."""
         self.listener.stop()
         for connection in list(self.listener.open):
             connection.finish(CloseReason.SHUTDOWN)
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -64,6 +64,7 @@
                 client.connection.close(CloseReason.QUIESCED)
 
     def close(self) -> None:
+        """Stop listening and end what is open."""
         self.listener.stop()
         if self.lag:
             self.lag.stop()
--- a/seamlb/fronts/sip.py
+++ b/seamlb/fronts/sip.py
@@ -47,6 +47,7 @@
     release: int | None = None  # cause of a release that waits for the ACK
 
     def respond(self, status: int, *extra: tuple[str, str], body: bytes = b"") -> None:
+        """Send a response; a final one ends the transaction's wait."""
         self.answered = status >= 200
         if self.answered:
             self.front.pending.pop(self.entry.key, None)
@@ -94,10 +95,12 @@
                 self._bye(self.release)
 
     def refused(self, back_off_ms: float) -> None:
+        """Answer 503, with the time to come back after if there is one."""
         extra = [("Retry-After", str(math.ceil(back_off_ms / 1000.0)))] if back_off_ms > 0 else []
         self._final(503, *extra)
 
     def failed(self) -> None:
+        """Answer 500."""
         self._final(500)
 
     def _final(self, status: int, *extra: tuple[str, str]) -> None:
@@ -105,6 +108,7 @@
             self.respond(status, *extra)
 
     def released(self, cause: int) -> None:
+        """Send the BYE, once the ACK has come or its time is over."""
         if self.timer:
             self.release = cause  # a BYE may not go before the ACK has come (15)
         else:
@@ -154,6 +158,7 @@
         self.lag: Lag | None = None
 
     async def start(self) -> None:
+        """Listen on the configured transports."""
         await self.endpoint.listen(self.config.udp, self.config.tcp)
         self.lag = Lag()
 
@@ -163,6 +168,7 @@
             self.endpoint.stop_listening()
 
     def close(self) -> None:
+        """Close the sockets."""
         if self.lag:
             self.lag.stop()
         self.endpoint.close()
@@ -243,6 +249,7 @@
             self.left(call, NORMAL)
 
     def left(self, call: Call, cause: int) -> None:
+        """The caller has gone, or its call can't go on."""
         if call.life:
             self.agent.caller_left(call.life, cause)
 
--- a/seamlb/hook.py
+++ b/seamlb/hook.py
@@ -59,6 +59,7 @@
         return self._call("classify", call, check, given)
 
     def observe(self, result: dict[str, Any]) -> None:
+        """Tell the operators' file what became of a call."""
         self._call("observe", result, lambda told: None, None)
 
     def _call(self, name: str, facts: dict[str, Any], check: Callable[[Any], T], otherwise: T) -> T:
--- a/seamlb/log.py
+++ b/seamlb/log.py
@@ -47,6 +47,7 @@
     """Brings what libraries log into the same lines."""
 
     def emit(self, record: logging.LogRecord) -> None:
+        """Write a library's log record as an event."""
         facts = (
             {"error": repr(record.exc_info[1]), "trace": trace(record.exc_info[1])}
             if (record.exc_info and record.exc_info[1])
--- a/seamlb/members/link.py
+++ b/seamlb/members/link.py
@@ -128,6 +128,7 @@
             self._done(self.swim.leave(asyncio.get_running_loop().time()))
 
     def close(self) -> None:
+        """Close the socket."""
         if self.endpoint:
             self.endpoint.close()
 
--- a/seamlb/members/wire.py
+++ b/seamlb/members/wire.py
@@ -62,6 +62,7 @@
     meta: bytes = b""
 
     def encode(self) -> bytes:
+        """The item's bytes in a datagram."""
         host, _, port = self.address.rpartition(":")
         return (
             _name(self.name)
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -52,6 +52,7 @@
 
     @property
     def closed(self) -> bool:
+        """Has it ended, or does it only wait for what still comes?"""
         return self.reason is not None or self.ending is not None or self.stream.closed()
 
     def _peek(self) -> bytes | None:
--- a/seamlb/net/datagram.py
+++ b/seamlb/net/datagram.py
@@ -40,22 +40,27 @@
         return endpoint
 
     def connection_made(self, transport: Any) -> None:
+        """The socket is open."""
         self.transport = transport
         self.address = transport.get_extra_info("sockname")[:2]
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        """Pass a datagram on; a fault in its handler is logged."""
         try:
             self.received(data, (addr[0], addr[1]))
         except Exception as error:
             log.event("fault", where=self.kind, error=repr(error), trace=log.trace(error))
 
     def error_received(self, exc: Exception) -> None:
+        """The system reports an error of an earlier send."""
         log.event("datagram_error", kind=self.kind, error=repr(exc))
 
     def send(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram, if the socket is open."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.sendto(data, address)
 
     def close(self) -> None:
+        """Close the socket."""
         if self.transport is not None:
             self.transport.close()
--- a/seamlb/net/lag.py
+++ b/seamlb/net/lag.py
@@ -24,4 +24,5 @@
         return max(0.0, self.loop.time() - self.due) * 1000.0
 
     def stop(self) -> None:
+        """Measure no more."""
         self.timer.cancel()
--- a/seamlb/planning/flow.py
+++ b/seamlb/planning/flow.py
@@ -24,6 +24,7 @@
     cost: list[int] = field(default_factory=list)
 
     def node(self) -> int:
+        """Add a node; returns its number."""
         self.out.append([])
         return len(self.out) - 1
 
@@ -38,9 +39,11 @@
         return number
 
     def flow(self, arc: int) -> int:
+        """What flows on an arc."""
         return self.room[arc ^ 1]
 
     def push(self, arc: int, amount: int) -> None:
+        """Send more over an arc."""
         self.room[arc] -= amount
         self.room[arc ^ 1] += amount
 
--- a/seamlb/planning/follow.py
+++ b/seamlb/planning/follow.py
@@ -47,13 +47,20 @@
     """A desk as the list has it."""
 
     @property
-    def ident(self) -> str: ...
+    def ident(self) -> str:
+        """The server's name."""
+
     @property
-    def cell(self) -> int: ...
+    def cell(self) -> int:
+        """Its pool."""
+
     @property
-    def availability(self) -> int: ...
+    def availability(self) -> int:
+        """What the list says of it."""
+
     @property
-    def since_ms(self) -> float: ...
+    def since_ms(self) -> float:
+        """When its process started, in Unix milliseconds."""
 
 
 @dataclass(slots=True)
@@ -68,6 +75,7 @@
     idle_zero: float = math.inf  # since when it tells that no agent is free
 
     def settle(self) -> float:
+        """Milliseconds that it must be well before it counts again; longer with each relapse."""
         return min(SETTLE_MOST_MS, SETTLE_MS * 2.0 ** max(0, self.flaps - 1)) if self.flaps else 0.0
 
 
@@ -80,6 +88,7 @@
     draw: StickyDraw = field(default_factory=lambda: StickyDraw({}))
 
     def use(self, shares: dict[str, int]) -> None:
+        """Draw by these shares from now on."""
         if shares != self.now:
             self.now, self.draw = shares, StickyDraw(shares)
 
--- a/seamlb/planning/model.py
+++ b/seamlb/planning/model.py
@@ -70,6 +70,7 @@
 
     @property
     def cost(self) -> int:
+        """What it costs to have it open."""
         return self.fixed_cost + self.agent_cost * self.agents
 
 
@@ -98,10 +99,12 @@
 
     @cached_property
     def kind(self) -> dict[str, Kind]:
+        """Classes by name."""
         return {one.name: one for one in self.kinds}
 
     @cached_property
     def desk(self) -> dict[str, PlanDesk]:
+        """Servers by name."""
         return {one.name: one for one in self.desks}
 
     @cached_property
@@ -111,6 +114,7 @@
 
     @cached_property
     def offered(self) -> int:
+        """All demand, in units."""
         return sum(self.demand.values())
 
     @cached_property
@@ -151,6 +155,7 @@
         return min((self.caps[desk, kind] for kind in given), default=0)
 
     def time(self, one: str, other: str) -> int:
+        """Microseconds between two districts."""
         return self.times[one, other]
 
     def allowed(self, desk: PlanDesk, kind: str) -> bool:
@@ -165,6 +170,7 @@
         return {desk: tuple(kinds) for desk, kinds in out.items()}
 
     def cost(self, placement: Placement) -> int:
+        """What a placement costs."""
         return sum(self.desk[name].cost for name in {desk for desk, _ in placement})
 
     def moved(self, placement: Placement) -> int:
--- a/seamlb/planning/program.py
+++ b/seamlb/planning/program.py
@@ -54,6 +54,7 @@
     stands: dict[int, list[int]] = field(default_factory=dict)  # a class in a district: placements that make it so
 
     def column(self, high: float, whole: bool = False) -> int:
+        """Add a variable from 0 to `high`; returns its number."""
         self.low.append(0.0)
         self.high.append(high)
         self.whole.append(whole)
@@ -62,6 +63,7 @@
     def row(
         self, terms: Mapping[int, float], low: float = -INFINITE, high: float = INFINITE, rule: Rule | None = None
     ) -> None:
+        """Add a constraint."""
         self.rows.append(Row(dict(terms), low, high, rule))
 
     def placement(self, values: Iterable[float]) -> Placement:
@@ -72,6 +74,7 @@
     # -- objectives: terms to be maximised -----------------------------------------------------
 
     def worth(self) -> Terms:
+        """The objective's first part: worth by variable."""
         out = {}
         for (kind, _, _, beyond), column in self.supplied.items():
             value = self.problem.kind[kind].value
--- a/seamlb/plugins/advisor.py
+++ b/seamlb/plugins/advisor.py
@@ -39,6 +39,7 @@
         return replace(settings, allowances=(*settings.allowances, ENDLESS, 0.0))
 
     def advise(self, now: float, request: Request, listed: Mapping[str, Desk]) -> Request:
+        """What the plug-ins make of a request before the module decides."""
         facts = Facts(request.class_name, request.tenant_name, request.number, request.patience_ms, desks=len(listed))
         told = self.chain.advise(now, facts)
         place = self.classes.get(told.kind, request.call_class)
@@ -67,6 +68,7 @@
         )
 
     def observe(self, request: Request, result: str, attempts: int) -> None:
+        """Tell the plug-ins what became of a request."""
         self.chain.observe(
             Facts(
                 request.class_name,
--- a/seamlb/plugins/chain.py
+++ b/seamlb/plugins/chain.py
@@ -129,6 +129,7 @@
         self.tell("plugin_rolled_back", {"plugin": name, "version": slot.active.program.version, "why": why})
 
     def unload(self, name: str) -> None:
+        """Take a plug-in off."""
         self._slot(name)
         del self.slots[name]
         self.supervisor.records.pop(name, None)
@@ -143,6 +144,7 @@
         }
 
     def enable(self, name: str, on: bool) -> None:
+        """Ask a plug-in from now on, or no more."""
         self._slot(name)
         self.supervisor.enable(name, on)
         self.remembered.clear()
--- a/seamlb/plugins/checking.py
+++ b/seamlb/plugins/checking.py
@@ -119,6 +119,7 @@
         self.places: dict[Input, int] = {}
 
     def run(self) -> Program:
+        """Check the file; returns the program, or raises RuleError at the first fault."""
         for one in self.file.declared:
             self._declare(one)
         if len(self.file.rules) > MOST_RULES:
--- a/seamlb/plugins/control.py
+++ b/seamlb/plugins/control.py
@@ -82,6 +82,7 @@
             return {"ok": False, "error": "a fault; see the log"}
 
     async def close(self) -> None:
+        """Stop listening and end what is open."""
         if self.server is not None:
             self.server.close()
             for task in list(self.clients):
--- a/seamlb/plugins/engine.py
+++ b/seamlb/plugins/engine.py
@@ -68,6 +68,7 @@
         self.broken = False
 
     def run(self, point: int, inputs: Sequence[float], fuel: int) -> tuple[Answers, int]:
+        """Its answers and the fuel used. Raises PluginError."""
         try:
             if self.broken:
                 self._begin()
--- a/seamlb/plugins/host.py
+++ b/seamlb/plugins/host.py
@@ -30,6 +30,7 @@
     desks: int = 0
 
     def text(self, name: str) -> str:
+        """A fact that is a text, by name."""
         return {"class": self.kind, "office": self.office, "number": self.number, "result": self.result}[name]
 
 
@@ -92,6 +93,7 @@
 
     @property
     def name(self) -> str:
+        """The program's name."""
         return self.program.name
 
     def inherit(self, old: Plugin) -> list[str]:
--- a/seamlb/plugins/machine.py
+++ b/seamlb/plugins/machine.py
@@ -64,6 +64,7 @@
         self.code = assemble(program)
 
     def run(self, point: int, inputs: Sequence[float], fuel: int) -> tuple[Answers, int]:
+        """Its answers and the fuel used. Raises PluginError."""
         code, stack, answers = self.code.get(point, []), list[float](), Answers()
         at = steps = 0
         while at < len(code):
--- a/seamlb/plugins/supervisor.py
+++ b/seamlb/plugins/supervisor.py
@@ -57,6 +57,7 @@
         self.paused_until, self.pauses = -math.inf, 0
 
     def record(self, name: str) -> Record:
+        """What is known of a plug-in's health."""
         return self.records.setdefault(name, Record())
 
     def _change(self, name: str, health: Health, **facts: object) -> None:
--- a/seamlb/plugins/windows.py
+++ b/seamlb/plugins/windows.py
@@ -41,6 +41,7 @@
         self.evicted = 0
 
     def add(self, now: float, key: str = "", amount: int = 1) -> None:
+        """Count an amount for a key."""
         newest = int(now // self.slice)
         ring = self.rings.get(key)
         if ring is None:
@@ -56,6 +57,7 @@
         ring.total += amount
 
     def count(self, now: float, key: str = "") -> int:
+        """What was counted for a key within the window."""
         ring = self.rings.get(key)
         if ring is None:
             return 0
@@ -79,12 +81,14 @@
         self.values: OrderedDict[str, float] = OrderedDict()
 
     def get(self, key: str = "") -> float:
+        """The value of a key, or the default."""
         if key not in self.values:
             return self.default
         self.values.move_to_end(key)
         return self.values[key]
 
     def put(self, key: str, value: float) -> None:
+        """Set the value of a key; the key used longest ago goes if there are too many."""
         self.values[key] = value
         self.values.move_to_end(key)
         if len(self.values) > self.most:
--- a/seamlb/protocol/dialog.py
+++ b/seamlb/protocol/dialog.py
@@ -33,6 +33,7 @@
 
     @property
     def key(self) -> tuple[str, str, str]:
+        """Call-ID, local tag and remote tag."""
         return self.call_id, parameter(self.local, "tag"), parameter(self.remote, "tag")
 
     @classmethod
@@ -92,6 +93,7 @@
         self.due = now + T1
 
     def acked(self) -> None:
+        """The ACK has come: send no more."""
         self.due = NEVER
 
     def poll(self, now: float) -> Message | None:
@@ -103,4 +105,5 @@
         return self.answer
 
     def expired(self, now: float) -> bool:
+        """Has no ACK come in time?"""
         return self.due is not NEVER and now >= self.end
--- a/seamlb/protocol/sip.py
+++ b/seamlb/protocol/sip.py
@@ -236,6 +236,7 @@
         self.left = b""
 
     def feed(self, data: bytes) -> None:
+        """Take bytes of the stream."""
         self.data += data
 
     def take(self, data: bytes, good: Callable[[Message], None], bad: Callable[[SipError], None]) -> int:
--- a/seamlb/protocol/transaction.py
+++ b/seamlb/protocol/transaction.py
@@ -86,10 +86,12 @@
 
     @property
     def over(self) -> bool:
+        """Has it ended?"""
         return self.state is State.TERMINATED
 
     @property
     def due(self) -> float:
+        """When the next timer ends."""
         return min(self.timers.values(), default=NEVER)
 
     def poll(self, now: float) -> Effects:
@@ -101,6 +103,7 @@
         return effects
 
     def fired(self, name: str, now: float) -> Effects:
+        """A timer has ended."""
         raise NotImplementedError
 
     def broken(self) -> Effects:
@@ -131,6 +134,7 @@
         self.ack: Message | None = None
 
     def start(self, now: float) -> Effects:
+        """Send the request and start timers A and B."""
         self.timers["B"] = now + 64 * T1
         if not self.reliable:
             self.timers["A"] = now + self.wait
@@ -142,6 +146,7 @@
             self.timers["B"] = now + 64 * T1
 
     def receive(self, message: Message, now: float) -> Effects:
+        """Take a response."""
         if self.over:
             return []
         if message.status < 200:
@@ -163,6 +168,7 @@
         return [Send(self.ack)] if self.state is State.COMPLETED and self.ack else []
 
     def fired(self, name: str, now: float) -> Effects:
+        """Timer A repeats the request; all others end the transaction."""
         if name == "A":
             self.wait *= 2
             self.timers["A"] = now + self.wait
@@ -187,12 +193,14 @@
         self.wait = T1
 
     def start(self, now: float) -> Effects:
+        """Send the request and start timers E and F."""
         self.timers["F"] = now + 64 * T1
         if not self.reliable:
             self.timers["E"] = now + self.wait
         return [Send(self.request)]
 
     def receive(self, message: Message, now: float) -> Effects:
+        """Take a response."""
         if self.state not in (State.TRYING, State.PROCEEDING):
             return []
         if message.status < 200:
@@ -203,6 +211,7 @@
         return [Deliver(message)]
 
     def fired(self, name: str, now: float) -> Effects:
+        """Timer E repeats the request; all others end the transaction."""
         if name == "E":
             self.wait = T2 if self.state is State.PROCEEDING else min(2 * self.wait, T2)
             self.timers["E"] = now + self.wait
@@ -247,6 +256,7 @@
         return []
 
     def fired(self, name: str, now: float) -> Effects:
+        """Timer G repeats the response; all others end the transaction."""
         if name == "G" and self.last:
             self.wait = min(2 * self.wait, T2)
             self.timers["G"] = now + self.wait
@@ -263,6 +273,7 @@
         self.last: Message | None = None
 
     def respond(self, message: Message, now: float) -> Effects:
+        """Send a response."""
         if self.state not in (State.TRYING, State.PROCEEDING):
             return []
         self.last = message
@@ -274,8 +285,10 @@
         return [Send(message)]
 
     def receive(self, message: Message, now: float) -> Effects:
+        """Take a repeated request: the last response is sent again."""
         return [Send(self.last)] if self.last else []
 
     def fired(self, name: str, now: float) -> Effects:
+        """Timer J ends the transaction."""
         self._end()
         return []
--- a/seamlb/routing/core.py
+++ b/seamlb/routing/core.py
@@ -26,6 +26,7 @@
         self.offset = time.time() * 1000.0 - time.monotonic() * 1000.0
 
     def now(self) -> float:
+        """Milliseconds that never go back, near to Unix time."""
         return self.offset + time.monotonic() * 1000.0
 
 
--- a/seamlb/routing/seam.py
+++ b/seamlb/routing/seam.py
@@ -58,22 +58,27 @@
 
     @property
     def open(self) -> float:
+        """Calls that may be open: the least that a part allows."""
         return min((part.open for part in self.parts), default=math.inf)
 
     def settings(self, settings: Settings) -> Settings:
+        """The settings as all parts change them, in order."""
         for part in self.parts:
             settings = part.settings(settings)
         return settings
 
     def sent(self, now: float, attempt: int, desk: str) -> None:
+        """An attempt goes to a server."""
         for part in self.parts:
             part.sent(now, attempt, desk)
 
     def ended(self, now: float, attempt: int, status: Status) -> None:
+        """An attempt has ended."""
         for part in self.parts:
             part.ended(now, attempt, status)
 
     def listed(self, now: float, unix_ms: float, desks: Sequence[Desk], whole: bool) -> Sequence[Desk]:
+        """News of the list as all parts change it, in order."""
         for part in self.parts:
             desks = part.listed(now, unix_ms, desks, whole)
         return desks
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -50,6 +50,7 @@
 
     @property
     def reliable(self) -> bool:
+        """Does the transport repeat what is lost?"""
         return self.transport == "TCP"
 
 
@@ -129,10 +130,12 @@
         self._spawn(self._sweep())
 
     def stop_listening(self) -> None:
+        """Accept no more connections."""
         if self.tcp:
             self.tcp.stop()
 
     def close(self) -> None:
+        """Close all sockets."""
         self.closing = True
         self.stop_listening()
         for entry in (*self.servers.values(), *self.clients.values()):
@@ -150,6 +153,7 @@
         return f"SIP/2.0/{transport} {self.addresses[transport]};branch={MAGIC}{secrets.token_hex(8)};rport"
 
     def contact(self, transport: str) -> str:
+        """Our address for a Contact header."""
         return f"<sip:seamlb@{self.addresses[transport]};transport={transport.lower()}>"
 
     # -- transactions -------------------------------------------------------------------------
--- a/seamlb/store/files.py
+++ b/seamlb/store/files.py
@@ -38,6 +38,7 @@
             raise
 
     def read(self, path: Path) -> bytes:
+        """The bytes of a file; OSError."""
         return path.read_bytes()
 
 
--- a/seamlb/subsystems/fleet.py
+++ b/seamlb/subsystems/fleet.py
@@ -25,21 +25,27 @@
         self.link.tell(f"{__version__} {config.zones[config.settings.zone] if config.zones else ''}".encode()[:32])
 
     def tables(self) -> Mapping[str, Table]:
+        """The members, for operators."""
         return {"/admin/members": self.link.table}
 
     async def bind(self) -> None:
+        """Open the socket; another process may still have it."""
         if not await self.link.start():
             log.event("peers_wait", address=self.link.config.udp)
 
     def runs(self) -> list[Coroutine[None, None, None]]:
+        """The gossip."""
         return [self.link.run()]
 
     def reload(self, config: Config, plugins: Plugins) -> None:
+        """Take new keys."""
         if plugins.member_keys:
             self.link.rotate(plugins.member_keys)
 
     def leave(self) -> None:
+        """Tell the others that this process goes."""
         self.link.leave()
 
     async def close(self) -> None:
+        """Close the socket."""
         self.link.close()
--- a/seamlb/subsystems/lists.py
+++ b/seamlb/subsystems/lists.py
@@ -39,6 +39,7 @@
         return merged.source("board"), merged.source("consul")
 
     def runs(self) -> list[Coroutine[None, None, None]]:
+        """The first list's fetch, where there is one."""
         return [self._begin(self.begin_list)] if self.begin_list else []
 
     async def _begin(self, begin: Callable[[], None]) -> None:
--- a/seamlb/subsystems/measures.py
+++ b/seamlb/subsystems/measures.py
@@ -17,7 +17,9 @@
         agent.measure = self.measures.ended
 
     def tables(self) -> Mapping[str, Table]:
+        """The measures, for operators."""
         return {"/admin/measures": self.measures.table}
 
     def runs(self) -> list[Coroutine[None, None, None]]:
+        """The sampling of the loop's lag."""
         return [self.measures.run()]
--- a/seamlb/subsystems/peers.py
+++ b/seamlb/subsystems/peers.py
@@ -38,11 +38,13 @@
         return True
 
     async def bind(self) -> None:
+        """Open the socket; another process may still have it."""
         self.agent.peers = self
         if not await self.start():
             log.event("peers_wait", address=self.config.peer_listen)
 
     def runs(self) -> list[Coroutine[None, None, None]]:
+        """Tries to open the socket, if it is not open yet."""
         return [] if self.endpoint else [self.follow()]
 
     async def follow(self) -> None:
@@ -56,6 +58,7 @@
             self.agent.peer_said(sender, data)
 
     def send(self, target: int | None, payload: bytes) -> None:
+        """Send a datagram to one peer, or to all."""
         if self.endpoint is None or len(payload) > MAX_DATAGRAM:
             return  # a longer one voids the run
         if target is None and self.config.peers_all:
--- a/seamlb/subsystems/plan.py
+++ b/seamlb/subsystems/plan.py
@@ -33,9 +33,11 @@
 
     @property
     def steady(self) -> bool:  # type: ignore[override]
+        """Do new settings wait for a restart?"""
         return self.guide is not None
 
     async def begin(self) -> None:
+        """Follow the plan of the files."""
         if self.first:
             self.follow(self.first)
 
@@ -51,6 +53,7 @@
         self.every(EVERY, "plan", self.agent.steer)
 
     def reload(self, config: Config, plugins: Plugins) -> None:
+        """Follow the files' new plan."""
         if self.guide:
             self.guide.adopt(self.agent.clock(), plugins.plan)
             self.agent.steer()
--- a/seamlb/subsystems/rules.py
+++ b/seamlb/subsystems/rules.py
@@ -27,11 +27,13 @@
         self.control: ControlSocket | None = None
 
     async def begin(self) -> None:
+        """Open the control socket, if one is configured."""
         if self.service.table.control:
             self.control = ControlSocket(self.service.table.control, self.service.handle)
             await self.control.start()
 
     def steps(self) -> list[tuple[float, str, Callable[[], None]]]:
+        """The health of plug-ins, looked at every now and then."""
         return [(BEAT_EVERY, "plugins", self.beat)]
 
     def beat(self) -> None:
@@ -53,5 +55,6 @@
         return waits
 
     async def close(self) -> None:
+        """Close the control socket."""
         if self.control:
             await self.control.close()
--- a/seamlb/subsystems/versions.py
+++ b/seamlb/subsystems/versions.py
@@ -25,12 +25,15 @@
         agent.look()
 
     def tables(self) -> Mapping[str, Table]:
+        """What is acted on, for operators."""
         return {"/admin/agree": self.link.table}
 
     def orders(self) -> Mapping[str, Order]:
+        """Proposals of operators."""
         return {"/admin/agree/propose": self.link.propose}
 
     def runs(self) -> list[Coroutine[None, None, None]]:
+        """The part that talks to the other agents."""
         return [self.link.run()]
 
     def check(self, plugins: Plugins) -> list[str]:
@@ -41,8 +44,10 @@
         return [] if replace(new, taken=self.table.taken, send=self.table.send) == self.table else ["agree"]
 
     def reload(self, config: Config, plugins: Plugins) -> None:
+        """Take new keys."""
         if plugins.agree:
             self.link.rotate(plugins.agree.taken, plugins.agree.send)
 
     async def close(self) -> None:
+        """Close the sockets and let go of the folder."""
         self.link.close()
--- a/seamlb/subsystems/zones.py
+++ b/seamlb/subsystems/zones.py
@@ -29,12 +29,15 @@
         agent.seam.parts.append(self.overlay)
 
     def tables(self) -> Mapping[str, Table]:
+        """The zones, for operators."""
         return {"/admin/zones": lambda: self.overlay.table(self.agent.clock() / 1000.0)}
 
     def orders(self) -> Mapping[str, Order]:
+        """Zones that operators force out or back."""
         return {"/admin/zones/force": self.force}
 
     def steps(self) -> list[tuple[float, str, Callable[[], None]]]:
+        """The votes on zones, taken every now and then."""
         return [(EVERY, "zones", self.step)]
 
     def force(self, asked: str) -> str:
--- a/seamlb/zones/fleet.py
+++ b/seamlb/zones/fleet.py
@@ -45,6 +45,7 @@
     out: int = 0
 
     def encode(self) -> str:
+        """The vote as members spread it."""
         return f"{self.sees:x}.{self.fails:x}.{self.out:x}"
 
     @staticmethod
