--- a/seamlb/emulator/command.py
+++ b/seamlb/emulator/command.py
@@ -9,6 +9,7 @@
 import click
 
 from seamlb.emulator import lab as experiments
+from seamlb.emulator import results
 from seamlb.planning.model import PlanningError
 
 
@@ -33,7 +34,7 @@
             click.echo(f"\r  {done} of {of} runs", err=True, nl=done == of)
 
         rows = experiments.play(told, problem, plan, progress, processes, rules)
-        experiments.save(out, rows, f"seamlb lab run {experiment}", told)
+        results.save(out, rows, f"seamlb lab run {experiment}", told)
     except (PlanningError, OSError) as error:
         click.echo(f"seamlb lab: {error}", err=True)
         sys.exit(2)
@@ -112,7 +113,7 @@
     """Paired differences of SECOND from FIRST, each a results.csv, or results.csv:POLICY."""
     try:
         one, other = (_rows(what) for what in (first, second))
-        click.echo("\n".join(experiments.compare(one, other)))
+        click.echo("\n".join(results.compare(one, other)))
     except PlanningError as error:
         click.echo(f"seamlb lab: {error}", err=True)
         sys.exit(2)
@@ -120,7 +121,7 @@
 
 def _rows(what: str) -> list[experiments.Row]:
     path, colon, name = what.rpartition(":")
-    rows = experiments.load(Path(path if colon else what))
+    rows = results.load(Path(path if colon else what))
     picked = [one for one in rows if not colon or one["policy"] == name]
     if not picked or len({one["policy"] for one in picked}) > 1:
         names = sorted({one["policy"] for one in rows})
--- a/seamlb/emulator/run.py
+++ b/seamlb/emulator/run.py
@@ -10,7 +10,8 @@
 
 from seamlb import api, log
 from seamlb.emulator import clock
-from seamlb.emulator.world import REPORT_EVERY, EmulatedDesks, Person, StandinDesk, stream
+from seamlb.emulator.standin import StandinDesk, stream
+from seamlb.emulator.world import REPORT_EVERY, EmulatedDesks, Person
 from seamlb.planning.draw import StickyDraw
 from seamlb.planning.follow import Followed, Guide
 from seamlb.planning.model import PERMILLE, Plan, Problem, weights
--- a/seamlb/extras.py
+++ b/seamlb/extras.py
@@ -155,9 +155,10 @@
     """The plan that a file names, checked whole against its problem and this configuration; else ValueError."""
     # Imported where it is switched on: the platform's path has none of these libraries.
     from seamlb.planning.check import check
-    from seamlb.planning.files import digest, load_problem, plan_of
+    from seamlb.planning.files import load_problem
     from seamlb.planning.follow import Followed
     from seamlb.planning.model import PlanningError
+    from seamlb.planning.plan_files import digest, plan_of
 
     try:
         problem = load_problem(folder / plan.problem)
--- a/seamlb/members/link.py
+++ b/seamlb/members/link.py
@@ -9,10 +9,11 @@
 from typing import Any
 
 from seamlb import log
+from seamlb.members.guard import Guard
 from seamlb.members.shares import Shares
 from seamlb.members.swim import Out, Swim
 from seamlb.members.table import MemberKeys, MembersConfig
-from seamlb.members.wire import NAME_MOST, Guard, Status
+from seamlb.members.wire import NAME_MOST, Status
 from seamlb.net.address import split_address
 from seamlb.net.datagram import Endpoint
 
--- a/seamlb/planning/command.py
+++ b/seamlb/planning/command.py
@@ -15,8 +15,9 @@
 import click
 
 from seamlb.planning.check import check as check_plan
-from seamlb.planning.files import digest, load_problem, plan_of, plan_text, save_plan
+from seamlb.planning.files import load_problem
 from seamlb.planning.model import Plan, PlanningError
+from seamlb.planning.plan_files import digest, plan_of, plan_text, save_plan
 from seamlb.planning.repair import losses
 from seamlb.planning.words import conflict_lines, difference, show, slack, table
 
--- a/seamlb/planning/files.py
+++ b/seamlb/planning/files.py
@@ -1,55 +1,36 @@
-"""Problems and plans as TOML files: read and checked whole by msgspec, written in one order."""
+"""Problems as TOML files, read and checked whole."""
 
 from __future__ import annotations
 
-import hashlib
 import math
-import tomllib
 from collections import defaultdict
 from pathlib import Path
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, Literal
 
 import msgspec
 
 from seamlb.planning.model import (
     PERMILLE,
-    Flows,
     Kind,
-    Objective,
     Office,
     Placement,
-    Plan,
     PlanDesk,
     PlanningError,
     Problem,
-    allowances_per_s,
-    check_problem,
-    weights,
 )
-from seamlb.store.files import DISK
+from seamlb.planning.plan_files import load_plan
+from seamlb.planning.problem_check import check_problem
+from seamlb.planning.tables import Above, Cost, Figure, Name, Part, Table, Whole, decode_table
 
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
-Whole = Annotated[int, msgspec.Meta(ge=0)]
-Cost = Annotated[int, msgspec.Meta(ge=0, le=10**9)]
-Above = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
-Figure = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
-Part = Annotated[float, msgspec.Meta(ge=0, le=1)]
-T = TypeVar("T")
-MOST_BYTES = 8 << 20
 
-
-class _Table(msgspec.Struct, forbid_unknown_fields=True):
-    pass
-
-
-class DistrictTable(_Table):
+class DistrictTable(Table):
     """A place, and the one-way times from it in milliseconds."""
 
     name: Name
     times_ms: dict[str, Figure] = {}
 
 
-class OfficeTable(_Table):
+class OfficeTable(Table):
     """`[[office]]`: a tenant and its share."""
 
     name: Name
@@ -57,7 +38,7 @@
     floor: Part = 0.0
 
 
-class ClassTable(_Table):
+class ClassTable(Table):
     """`[[class]]`: a call class, its worth and the service it asks for."""
 
     name: Name
@@ -71,7 +52,7 @@
     survive: Literal["none", "desk", "district"] = "none"
 
 
-class DemandTable(_Table):
+class DemandTable(Table):
     """Offered load of a class in a district, of one office or split among all by their shares."""
 
     class_: Name = msgspec.field(name="class")
@@ -81,7 +62,7 @@
     calls_per_s: Figure | None = None
 
 
-class DeskTable(_Table):
+class DeskTable(Table):
     """`[[desk]]`: a server, its people and what they can do."""
 
     name: Name
@@ -98,7 +79,7 @@
     cold: bool = False
 
 
-class ProblemTable(_Table):
+class ProblemTable(Table):
     """A whole problem file."""
 
     district: list[DistrictTable]
@@ -114,37 +95,10 @@
     moves: Whole | None = None
 
 
-def _decode(path: Path, form: type[T]) -> T:
-    """One file as its table; PlanningError names file, key and reason."""
-    try:
-        size = path.stat().st_size
-        if size > MOST_BYTES:
-            raise PlanningError(f"{path}: {size} bytes are more than a file may have ({MOST_BYTES})")
-        raw = tomllib.loads(path.read_bytes().decode())
-        _finite(raw, "")
-        return msgspec.convert(raw, form)
-    except OSError as error:
-        raise PlanningError(f"{path}: {error.strerror}") from None
-    except (ValueError, RecursionError) as error:  # msgspec's and TOML's errors are ValueErrors
-        raise PlanningError(f"{path}: {error}".replace("\n", " ")) from None
-
-
-def _finite(value: object, where: str) -> None:
-    """TOML has nan and inf, for which no bound of a form holds."""
-    if isinstance(value, float) and not math.isfinite(value):
-        raise ValueError(f"{where.lstrip('.')}: not a number that can be used: {value}")
-    if isinstance(value, dict):
-        for key, one in value.items():
-            _finite(one, f"{where}.{key}")
-    elif isinstance(value, list):
-        for place, one in enumerate(value):
-            _finite(one, f"{where}[{place}]")
-
-
 def load_problem(path: str | Path, current: str | Path | None = None) -> Problem:
     """Read a problem, and the plan in force if one is named. Raises PlanningError with one line."""
     path = Path(path)
-    table = _decode(path, ProblemTable)
+    table = decode_table(path, ProblemTable)
     force = load_plan(current).placement if current else None
     try:
         problem = _problem(table, force)
@@ -247,175 +201,3 @@
     for name in order[: units - sum(out.values())]:
         out[name] += 1
     return out
-
-
-class PlacementTable(_Table):
-    """`[[placement]]` of a plan file: the classes that a desk is given."""
-
-    desk: Name
-    classes: list[Name]
-
-
-class RouteTable(_Table):
-    """`[[route]]` of a plan file: what a desk carries of a class in a district."""
-
-    class_: Name = msgspec.field(name="class")
-    district: Name
-    desk: Name
-    units: Whole
-    share: Part = 0.0  # of what is carried there; for people, the units count
-
-
-class SupplyTable(_Table):
-    """`[[supply]]` of a plan file: what an office gets, within its share and beyond."""
-
-    class_: Name = msgspec.field(name="class")
-    district: Name
-    office: Name
-    within: Whole
-    beyond: Whole
-
-
-class ObjectiveTable(_Table):
-    """`[objective]` of a plan file, by part in the order of weight."""
-
-    worth: int
-    cost: Whole
-    distance: Whole
-    moves: Whole
-
-
-class PlanTable(_Table):
-    """A whole plan file."""
-
-    status: Literal["optimal", "stopped"]
-    problem: str  # digest of the problem it was made for
-    grain_milli_erlangs: Annotated[int, msgspec.Meta(gt=0)]
-    objective: ObjectiveTable
-    proven: list[str] = []
-    bound: dict[str, float] = {}
-    nodes: Whole = 0
-    allowances: dict[str, Figure] = {}  # calls a second by office
-    placement: list[PlacementTable] = []
-    supply: list[SupplyTable] = []
-    route: list[RouteTable] = []
-
-
-def digest(problem: Problem) -> str:
-    """Tells whether a plan was made for this very problem; the plan in force and the limit on moves are no part."""
-    parts = (
-        sorted(problem.districts),
-        sorted(problem.times.items()),
-        sorted(problem.offices, key=lambda o: o.name),
-        sorted(problem.kinds, key=lambda k: k.name),
-        [
-            (
-                d.name,
-                d.district,
-                d.agents,
-                d.rate_milli,
-                sorted(d.skills),
-                sorted(d.second),
-                sorted(d.pinned),
-                sorted(d.forbidden),
-                d.most_classes,
-                d.fixed_cost,
-                d.agent_cost,
-                d.cold,
-            )
-            for d in sorted(problem.desks, key=lambda d: d.name)
-        ],
-        [(cell, problem.demand[cell]) for cell in problem.cells],
-        problem.grain,
-        problem.over_worth,
-        problem.second_choice,
-        problem.start_capacity,
-        problem.budget,
-    )
-    return hashlib.blake2b(repr(parts).encode(), digest_size=12).hexdigest()
-
-
-def plan_text(problem: Problem, plan: Plan) -> str:
-    """The plan as TOML; the same plan always gives the same bytes."""
-    lines = [
-        f'status = "{plan.status}"',
-        f'problem = "{digest(problem)}"',
-        f"grain_milli_erlangs = {problem.grain}",
-        f"proven = [{', '.join(chr(34) + one + chr(34) for one in plan.proven)}]",
-        f"nodes = {plan.nodes}",
-        "",
-        "[objective]",
-        *(f"{key} = {getattr(plan.objective, key)}" for key in ("worth", "cost", "distance", "moves")),
-    ]
-    if plan.bound:
-        lines += ["", "[bound]", *(f"{key} = {value!r}" for key, value in sorted(plan.bound.items()))]
-    lines += [
-        "",
-        "[allowances]",
-        *(f'"{name}" = {rate:.6f}' for name, rate in sorted(allowances_per_s(problem, plan.flows).items())),
-    ]
-    for desk, kinds in problem.given(plan.placement).items():
-        lines += [
-            "",
-            "[[placement]]",
-            f'desk = "{desk}"',
-            f"classes = [{', '.join(chr(34) + k + chr(34) for k in kinds)}]",
-        ]
-    for (kind, district, office), (within, beyond) in sorted(plan.flows.supply.items()):
-        lines += [
-            "",
-            "[[supply]]",
-            f'class = "{kind}"',
-            f'district = "{district}"',
-            f'office = "{office}"',
-            f"within = {within}",
-            f"beyond = {beyond}",
-        ]
-    for (kind, district), units in sorted(weights(problem, plan.flows).items()):
-        total = sum(units.values())
-        for desk, count in sorted(units.items()):
-            lines += [
-                "",
-                "[[route]]",
-                f'class = "{kind}"',
-                f'district = "{district}"',
-                f'desk = "{desk}"',
-                f"units = {count}",
-                f"share = {count / total:.6f}",
-            ]
-    return "\n".join(lines) + "\n"
-
-
-def save_plan(path: str | Path, problem: Problem, plan: Plan) -> None:
-    """Write a plan whole or not at all: a reader never sees half of one."""
-    try:
-        DISK.put(Path(path), plan_text(problem, plan).encode())
-    except OSError as error:
-        raise PlanningError(f"{path}: {error.strerror}") from None
-
-
-def load_plan(path: str | Path) -> Plan:
-    """Read a plan; it is not checked against any problem yet. Raises PlanningError with one line."""
-    return plan_of(path)[0]
-
-
-def plan_of(path: str | Path) -> tuple[Plan, PlanTable]:
-    """The plan of a file beside the file's own tables."""
-    path = Path(path)
-    table = _decode(path, PlanTable)
-    listed: list[tuple[str, list[tuple[str, ...]]]] = [
-        ("placement", [(one.desk,) for one in table.placement]),
-        ("route", [(r.class_, r.district, r.desk) for r in table.route]),
-        ("supply", [(s.class_, s.district, s.office) for s in table.supply]),
-    ]
-    for label, names in listed:
-        double = sorted({one for one in names if names.count(one) > 1})
-        if double:
-            raise PlanningError(f"{path}: {label}: {'/'.join(double[0])} is there twice")
-    placement = frozenset((one.desk, kind) for one in table.placement for kind in one.classes)
-    flows = Flows(
-        {(s.class_, s.district, s.office): (s.within, s.beyond) for s in table.supply},
-        {(r.class_, r.district, r.desk): r.units for r in table.route},
-    )
-    figures = Objective(table.objective.worth, table.objective.cost, table.objective.distance, table.objective.moves)
-    return Plan(placement, flows, figures, table.status, tuple(table.proven), table.bound, table.nodes), table
--- a/seamlb/plugins/abi.py
+++ b/seamlb/plugins/abi.py
@@ -13,7 +13,7 @@
 import orjson
 
 from seamlb.plugins.checking import MOST_INPUTS, MOST_TEXT, POINTS, Input, Program
-from seamlb.plugins.language import At, Declared
+from seamlb.plugins.syntax import At, Declared
 
 ABI = 1
 SECTION = "seamlb"
--- a/seamlb/plugins/checking.py
+++ b/seamlb/plugins/checking.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass, field, replace
 from difflib import get_close_matches
 
-from seamlb.plugins.language import Action, At, Declared, File, Node, Rule, RuleError, fail, parse
+from seamlb.plugins.language import parse
+from seamlb.plugins.syntax import Action, At, Declared, File, Node, Rule, RuleError, fail
 
 POINTS = ("classify", "admit", "prefer", "observe", "tick", "list_changed")
 CALL_POINTS = ("classify", "admit", "prefer", "observe")
--- a/seamlb/plugins/command.py
+++ b/seamlb/plugins/command.py
@@ -13,9 +13,10 @@
 from seamlb.plugins.checking import compile_text
 from seamlb.plugins.control import ask
 from seamlb.plugins.host import Grant
-from seamlb.plugins.language import RuleError, parse
+from seamlb.plugins.language import parse
 from seamlb.plugins.loading import LoadError, load_plugin
 from seamlb.plugins.printing import explained, formatted
+from seamlb.plugins.syntax import RuleError
 from seamlb.plugins.wasm import compile_program
 
 FILE = click.Path(path_type=Path, dir_okay=False)
--- a/seamlb/plugins/language.py
+++ b/seamlb/plugins/language.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass, field
 from functools import cache
 from typing import Any
 
 from lark import Lark, Token, Tree
 from lark.exceptions import UnexpectedCharacters, UnexpectedEOF, UnexpectedInput, UnexpectedToken
 
+from seamlb.plugins.syntax import Action, At, Declared, File, Node, Rule, RuleError, fail
+
 GRAMMAR = r"""
 start: header item*
 header: "plugin" NAME "version" INT
@@ -70,6 +71,7 @@
 %ignore /#[^\n]*/
 """
 
+
 # Rows are read beside the grammar: a table of 100,000 takes it 6 s, and a daemon reads its files while it serves.
 ROW = re.compile(r'"([^"\n]*)"\s*=\s*([0-9]+(?:\.[0-9]+)?)(?:\s*(per s\b|per min\b|ms\b|s\b|min\b|h\b|%))?')
 BETWEEN = re.compile(r"(?:\s|#[^\n]*)*")
@@ -77,78 +79,6 @@
 DEEPEST = 60  # nested parentheses and negations: beyond this a rule can't be read, and engines' stacks are bounded
 
 
-class RuleError(Exception):
-    """A rule file that can't be used; its text is one line with file, line, column and a hint."""
-
-
-@dataclass(slots=True, frozen=True)
-class At:
-    """Where something stands in its file, counted from 1."""
-
-    line: int
-    column: int
-
-
-@dataclass(slots=True, frozen=True)
-class Node:
-    """An expression as it was written."""
-
-    kind: str  # the grammar's name for it
-    at: At
-    value: Any = None  # of a literal, a text, a name; the operator of a comparison, sum or product
-    parts: tuple[Node, ...] = ()
-
-
-@dataclass(slots=True, frozen=True)
-class Action:
-    """One action of a rule, with the place where it stands."""
-
-    kind: str
-    at: At
-    value: str = ""
-    expr: Node | None = None
-
-
-@dataclass(slots=True, frozen=True)
-class Rule:
-    """One rule: at which point it is asked, when it holds, and what it does."""
-
-    name: str
-    point: str
-    at: At
-    when: Node | None
-    actions: tuple[Action, ...]
-
-
-@dataclass(slots=True, frozen=True)
-class Declared:
-    """A state, table, counter or kept value."""
-
-    kind: str
-    name: str
-    at: At
-    of: str = ""  # the fact it is held by
-    number: float = 0.0
-    unit: str = ""
-    rows: tuple[tuple[str, float, str], ...] = ()
-
-
-@dataclass(slots=True)
-class File:
-    """A whole rule file."""
-
-    path: str
-    name: str
-    version: int
-    declared: list[Declared] = field(default_factory=list)
-    rules: list[Rule] = field(default_factory=list)
-
-
-def fail(path: str, at: At, problem: str, hint: str = "") -> RuleError:
-    """An error with file, line and column, and a hint if there is one."""
-    return RuleError(f"{path}:{at.line}:{at.column}: {problem}" + (f" ({hint})" if hint else ""))
-
-
 @cache
 def _parser() -> Lark:
     return Lark(GRAMMAR, parser="lalr", propagate_positions=True)
--- a/seamlb/plugins/loading.py
+++ b/seamlb/plugins/loading.py
@@ -12,8 +12,9 @@
 from seamlb.plugins.abi import MOST_MODULE, ModuleError, custom_section, read_manifest
 from seamlb.plugins.checking import FACTS, POINTS, compile_text
 from seamlb.plugins.host import Grant, GrantError, Plugin
-from seamlb.plugins.language import MOST_BYTES, RuleError
+from seamlb.plugins.language import MOST_BYTES
 from seamlb.plugins.machine import Interpreter
+from seamlb.plugins.syntax import RuleError
 
 Part = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
--- a/seamlb/plugins/printing.py
+++ b/seamlb/plugins/printing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from seamlb.plugins.checking import Expr, Program
-from seamlb.plugins.language import Action, Declared, File, Node
+from seamlb.plugins.syntax import Action, Declared, File, Node
 
 RANK = {
     "any_of": 1,
--- a/tests/gossip.py
+++ b/tests/gossip.py
@@ -8,8 +8,9 @@
 from collections import Counter
 from typing import Any
 
+from seamlb.members.guard import Guard
 from seamlb.members.swim import Out, Swim
-from seamlb.members.wire import Guard, Status
+from seamlb.members.wire import Status
 
 KEY = {1: b"k" * 32}
 TICK = 0.1
--- a/tests/problems.py
+++ b/tests/problems.py
@@ -3,7 +3,8 @@
 from pathlib import Path
 from typing import Any
 
-from seamlb.planning.model import Kind, Office, PlanDesk, Problem, check_problem
+from seamlb.planning.model import Kind, Office, PlanDesk, Problem
+from seamlb.planning.problem_check import check_problem
 
 ROOT = Path(__file__).resolve().parent.parent
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -9,10 +9,10 @@
 
 from seamlb import api
 from seamlb.cli import main
-from seamlb.emulator import clock, lab
+from seamlb.emulator import clock, lab, results
 from seamlb.emulator.policies import NAMES, greedy, policy, uniform
 from seamlb.emulator.run import RULES, Policy, Scenario, Trouble, emulate, settings
-from seamlb.emulator.world import Job, StandinDesk, stream
+from seamlb.emulator.standin import Job, StandinDesk, stream
 from seamlb.planning.check import check
 from seamlb.planning.files import load_problem
 from seamlb.planning.model import PlanningError
@@ -157,7 +157,7 @@
         assert (tmp_path / "a" / name).read_bytes() == (tmp_path / "b" / name).read_bytes()
     table = (tmp_path / "a/results.csv").read_text()
     assert "seamlb lab run" in table.splitlines()[0] and "seeds 1 to 2" in table.splitlines()[0]
-    assert len(lab.load(tmp_path / "a/results.csv")) == 8
+    assert len(results.load(tmp_path / "a/results.csv")) == 8
     file = tmp_path / "a/results.csv"
     code, told = run("compare", f"{file}:plan", f"{file}:uniform")
     assert code == 0 and told.count("\n") == 1 + 2 * (4 + 2 + 1)  # figures, classes, offices
@@ -188,14 +188,14 @@
 def test_intervals_by_students_t() -> None:
     """Quantiles of the printed tables."""
     for freedom, t in ((1, 12.706), (2, 4.303), (4, 2.776), (9, 2.262), (19, 2.093), (30, 2.042), (1000, 1.962)):
-        assert lab._t975(freedom) == pytest.approx(t, rel=1e-3)
-    assert lab.half_width([1.0, 2.0, 3.0]) == pytest.approx(4.303 / math.sqrt(3), rel=1e-3)
+        assert results._t975(freedom) == pytest.approx(t, rel=1e-3)
+    assert results.half_width([1.0, 2.0, 3.0]) == pytest.approx(4.303 / math.sqrt(3), rel=1e-3)
     rows = [{"scenario": "x", "seed": str(n), "policy": "p", **dict.fromkeys(lab.FIGURES, str(n))} for n in range(5)]
     more = [one | {"worth": str(float(one["worth"]) + 1 + n % 2 / 10)} for n, one in enumerate(rows)]
-    line = next(one for one in lab.compare(rows, more) if one.split()[1] == "worth")
+    line = next(one for one in results.compare(rows, more) if one.split()[1] == "worth")
     assert "+1.0400" in line and line.endswith("differs")
     with pytest.raises(PlanningError, match="in common"):
-        lab.compare(rows, [one | {"seed": "99"} for one in rows])
+        results.compare(rows, [one | {"seed": "99"} for one in rows])
 
 
 def test_rules_of_an_experiment_reach_every_agent(plan: Policy) -> None:
--- a/tests/test_members_daemon.py
+++ b/tests/test_members_daemon.py
@@ -15,7 +15,8 @@
 from click.testing import CliRunner
 
 from seamlb.cli import main
-from seamlb.members.wire import Datagram, Guard, Item, Kind, Status
+from seamlb.members.guard import Guard
+from seamlb.members.wire import Datagram, Item, Kind, Status
 from tests.fleet import ROOT, check_files, own_host
 from tests.loopback import PATIENCE
 from tests.processes import log_events
--- a/tests/test_members_wire.py
+++ b/tests/test_members_wire.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from seamlb.members.wire import MOST, SKEW, WINDOW, Datagram, DatagramError, Guard, Item, Kind, Status, decode
+from seamlb.members.guard import Guard
+from seamlb.members.wire import MOST, SKEW, WINDOW, Datagram, DatagramError, Item, Kind, Status, decode
 from tests.gossip import KEY, Network
 
 
--- a/tests/test_plan_daemon.py
+++ b/tests/test_plan_daemon.py
@@ -8,7 +8,8 @@
 from seamlb.config import Config, ConfigError
 from seamlb.daemon import Daemon
 from seamlb.extras import Plugins, load_plugins
-from seamlb.planning.files import load_problem, save_plan
+from seamlb.planning.files import load_problem
+from seamlb.planning.plan_files import save_plan
 from seamlb.planning.solve import solve
 from tests.loopback import ScriptedDesk, Story, config, invite
 from tests.support import RAW
--- a/tests/test_plan_files.py
+++ b/tests/test_plan_files.py
@@ -15,8 +15,9 @@
 from seamlb.cli import main
 from seamlb.planning import solve as solver
 from seamlb.planning.check import check
-from seamlb.planning.files import load_plan, load_problem, plan_text, save_plan
+from seamlb.planning.files import load_problem
 from seamlb.planning.model import PlanningError
+from seamlb.planning.plan_files import load_plan, plan_text, save_plan
 from seamlb.planning.solve import solve
 from tests.exhaustive import random_problem
 from tests.problems import ROOT, desk, problem
--- a/tests/test_rule_language.py
+++ b/tests/test_rule_language.py
@@ -13,9 +13,10 @@
 from seamlb.plugins.abi import ModuleError, custom_section, read_manifest
 from seamlb.plugins.checking import POINTS, Program, compile_text
 from seamlb.plugins.engine import WasmEngine
-from seamlb.plugins.language import RuleError, parse
+from seamlb.plugins.language import parse
 from seamlb.plugins.machine import Interpreter
 from seamlb.plugins.printing import formatted
+from seamlb.plugins.syntax import RuleError
 from seamlb.plugins.wasm import compile_program
 
 ROOT = Path(__file__).resolve().parent.parent
