--- a/seamlb/policy/node.py
+++ b/seamlb/policy/node.py
@@ -30,8 +30,7 @@
 
     def answer_rate(self, now: float, server: Server) -> float:
         """Set-ups to count on from it once warm: by lines, of all answers, at first of all allowances."""
-        settings = self.settings
-        usual = sum(settings.allowances) / settings.instances / 1000.0
+        settings, usual = self.settings, self.ranking.usual
         count, span = (USUAL / FADE_MS, USUAL / FADE_MS / usual) if usual else (0.0, 0.0)
         span += 1.0 - math.exp((self.began - now) / FADE_MS)  # the rate began at nought
         rate = (count / self.fleet.lines + self.answers.get(now)) / span if span else 0.0
--- a/seamlb/policy/ranking.py
+++ b/seamlb/policy/ranking.py
@@ -34,6 +34,7 @@
     limit_of: list[int]  # by rank, place in `limits`
     floor_ratios: list[float]  # by rank
     reserve: list[float]  # by rank, lines kept from it, in roots of a server's lines
+    usual: float  # calls per millisecond that the allowances let one node expect
 
     @classmethod
     def of(cls, settings: api.Settings) -> "Ranking":
@@ -57,4 +58,5 @@
         reserve = [RESERVE * max(0.0, math.log(least / -u)) if u and least else 0.0 for u, *_ in order]
         floors = floor_ratios([over + late == 0 for _, late, over, _ in order])
         limit_of = [limits.index(aims[place]) for *_, place in order]
-        return cls(longest, limits, ranks, limit_of, floors, reserve)
+        usual = sum(settings.allowances) / settings.instances / 1000.0
+        return cls(longest, limits, ranks, limit_of, floors, reserve, usual)
