Name a fault that is not mended: a call that ends in a stall of the loop is failed, not refused

Probe: with the loop held for 0.2 s over both of the call's timers the caller gets 500, and a fault line says that no decision came in time. At fault: Agent._decision (routing/agent.py) takes Overdue first; the module's refusal is the next in the queue.

--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -1,12 +1,14 @@
 """Timers and clocks that don't agree: no call waits for ever, and each is answered in time."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from seamlb import api
 from seamlb.emulator import clock as virtual
 from seamlb.routing.agent import Agent
 from seamlb.routing.model import Answer, Attempt, Desk, Heard, Outcome, Request
+from tests.loopback import ScriptedDesk, Story, invite, silent
 from tests.support import settings
 
 
@@ -95,3 +97,16 @@
 def test_a_call_on_which_nothing_is_decided_fails_before_its_caller_gives_up() -> None:
     (told,), _ = play(lambda: asyncio.get_running_loop().time() * 1000.0, deaf=True)
     assert told[0] == "failed" and 2.0 <= told[1] <= 2.02  # AnswerSlack after it
+
+
+class Stalls(Story):
+    async def test_a_refusal_is_not_turned_into_a_failure_where_this_process_stood_still(self) -> None:
+        # Both timers of the call are due in one turn of the loop, and the refusal is behind the second of them.
+        desk = ScriptedDesk(silent)
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite(timer=50))
+        await desk.until("INVITE")
+        time.sleep(0.2)
+        self.assertEqual((await caller.next()).status, 503)
+        self.assertEqual(self.events("fault"), [])
