Take the pending events of a request by precedence, not in the order of the loop

Callers saw: 500 in place of 503 where a pause of the loop covers the last attempt's time-out and the call's own end (test_timers.Stalls always; test_platform's answer_that_crosses_our_cancel on a busy machine only). Cause: Agent read a first-in first-out queue; each wait took the first item it knew and threw the rest away. The end of the caller's time was put ahead of the module's refusal, which was pending behind it.

--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -7,7 +7,7 @@
 
 from seamlb import api, log
 from seamlb.routing.core import Clock, Core
-from seamlb.routing.life import CallerLeft, Heard, Life, Overdue, TimedOut, Verdict, key_of
+from seamlb.routing.life import CallerLeft, Heard, Life, Overdue, Shutdown, TimedOut, Verdict, key_of
 from seamlb.routing.model import Advisor, Answer, Attempt, Caller, Guide, Outcome, Request
 
 __all__ = ["Agent", "Clock", "Life"]
@@ -63,7 +63,7 @@
         """The process ends: whoever has no answer by now is told that the call failed."""
         for life in list(self.lives.values()):
             if not life.answered:
-                life.news.put_nowait(api.ReportFailure(life.number))
+                life.news.put_nowait(Shutdown())
 
     def caller_left(self, life: Life, cause: int = 16) -> None:
         """A front tells that the caller gave the request up, or released the call."""
@@ -121,18 +121,14 @@
         return asyncio.get_running_loop().call_later(max(0.0, patience) / 1000.0, life.news.put_nowait, Overdue())
 
     async def _decision(self, life: Life) -> Verdict | CallerLeft:
-        """What the module decides next for a call with no attempt out, unless the caller leaves first."""
-        while True:
-            news = await life.news.get()
-            if isinstance(news, CallerLeft):
-                self.feed(api.HungUp(life.number))
-                return news
-            if isinstance(news, (api.CallOut, api.Deny, api.ReportFailure)):
-                return news
-            if isinstance(news, Overdue):
-                log.event("fault", where="decision", call=life.request.ident, error="none came in time")
-                self.feed(api.HungUp(life.number))
-                return api.ReportFailure(life.number)
+        """What the module decides next for a call with no attempt out, unless something ends the call first."""
+        news = await life.news.decision()
+        if not isinstance(news, CallerLeft | Shutdown | Overdue):
+            return news
+        self.feed(api.HungUp(life.number))
+        if isinstance(news, Overdue):
+            log.event("fault", where="decision", call=life.request.ident, error="none came in time")
+        return news if isinstance(news, CallerLeft) else api.ReportFailure(life.number)
 
     async def _attempt(self, life: Life, out: api.CallOut) -> Answer | Outcome | Verdict | CallerLeft:
         """Carry out one attempt to its answer or outcome; an attempt that is left early is called off."""
@@ -146,32 +142,25 @@
         timer = asyncio.get_running_loop().call_later(
             max(0.0, within) / 1000.0, life.news.put_nowait, TimedOut(attempt.leg)
         )
-        if not life.left:  # its news is in the queue, behind the decision
-            self.desks.set_up(attempt, lambda leg, what: life.news.put_nowait(Heard(leg, what)))
+        self.desks.set_up(attempt, lambda leg, what: life.news.put_nowait(Heard(leg, what)))
         try:
-            while True:
-                match await life.news.get():
-                    case Heard(leg, what) if leg == attempt.leg:
-                        return what
-                    case TimedOut(leg) if leg == attempt.leg:
-                        self.desks.give_up(attempt)
-                        return Outcome(api.Status.TIMEOUT)
-                    case api.Withdraw(_, leg) if leg == attempt.leg:
-                        self.desks.give_up(attempt)
-                        return Outcome(api.Status.CANCELLED)
-                    case CallerLeft() as left:
-                        self.desks.give_up(attempt)
-                        self.feed(api.HungUp(life.number))
-                        self._ended(life, Outcome(api.Status.CANCELLED), final=True)
-                        return left
-                    case (api.Deny() | api.ReportFailure()) as final:
-                        self.desks.give_up(attempt)
-                        self._ended(life, Outcome(api.Status.CANCELLED), final=True)
-                        return final
-                    case _:
-                        pass  # news of an attempt that is over
+            news = await life.news.attempt(attempt.leg)
         finally:
             timer.cancel()
+        match news:
+            case Heard(_, what):
+                return what
+            case TimedOut():
+                self.desks.give_up(attempt)
+                return Outcome(api.Status.TIMEOUT)
+            case api.Withdraw():
+                self.desks.give_up(attempt)
+                return Outcome(api.Status.CANCELLED)
+            case CallerLeft() | Shutdown():
+                self.desks.give_up(attempt)
+                self.feed(api.HungUp(life.number))
+                self._ended(life, Outcome(api.Status.CANCELLED), final=True)
+                return news if isinstance(news, CallerLeft) else api.ReportFailure(life.number)
 
     async def _stand(self, life: Life, answer: Answer) -> str:
         """The call stands: pass the answer on, then wait for the release from either side."""
@@ -179,18 +168,17 @@
         told = self._answer(life, answer)
         self.seam.ended(self.clock() / 1000.0, life.number, api.Status.OK)
         self.feed(api.Stands(life.number, life.attempt.leg, life.server, self._delay(life)))
-        while told == "stands":
-            match await life.news.get():
-                case Heard(leg, Outcome() as outcome) if leg == life.attempt.leg:
-                    life.caller.released(outcome.cause)
+        if told == "stands":
+            match await life.news.release(life.attempt.leg):
+                case Heard(_, Outcome() as outcome):
+                    if not life.left:  # else it has released the call too
+                        life.caller.released(outcome.cause)
                     self._ended(life, outcome, final=True)
                     return "stood" if outcome.status == api.Status.OK else "cut"
                 case CallerLeft(cause):
                     self.desks.release(life.attempt, cause)
                     self._ended(life, Outcome(api.Status.CANCELLED), final=True)
                     return "released"
-                case _:
-                    pass
         self.desks.release(life.attempt, 16)
         self._ended(life, Outcome(api.Status.CANCELLED), final=True)
         return told
@@ -209,12 +197,14 @@
                 return "left"  # it is owed none
             case Answer(description):
                 life.stood = True
-                if life.left:  # its news is in the queue, behind the answer
+                if life.left:  # its news is pending still: the call is released at once
                     return "left"
                 if not life.caller.stands(description):
                     return "untold"
                 self.counters.fulfilled[life.kind] += 1
                 return "stands"
+            case _ if life.left:
+                return "left"
             case api.Deny(_, backoff):
                 self.counters.throttled[life.kind] += 1
                 life.caller.refused(backoff)
