Read what has come before a message that is not whole counts as late

Callers saw: a set-up whose rest was in the socket was never answered, its connection closed as slow; a server's answer in two pieces ended as a reset of every set-up on that connection (503 after the bar). Both after a pause of this process. Cause: Connection's timer of half messages (net/connection.py, expect) fires in the turn of the loop in which the stream reads the socket; the connection's coroutine is told of the bytes in the next one. Evidence: test_pauses, whose_rest_came_meanwhile twice, failed on and on (EOFError; 503 for 200). Why this works: the timer lets the loop turn three times before it acts, in which what has come reaches its reader. One that is not whole then still ends; the fourth test holds that.

--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -20,6 +20,7 @@
 # From accept to the first whole message, and from a later message's first byte to its last: who says nothing or
 # never ends must be gone within 3 s. Between messages a caller may be idle for as long as there is room.
 MESSAGE_WITHIN = 2.0
+READ_TURNS = 3  # turns of the event loop in which what has come by now reaches its reader
 # After a refusal that ends a connection what still comes is thrown away for a while: a close with input unread
 # resets the connection, and the refusal may be lost with it.
 LINGER = 1.0
@@ -45,7 +46,7 @@
         self.residue: Callable[[bytes], object] = lambda data: None  # what still comes after `refuse`
         self.linger = LINGER
         self._discarded = 0
-        self._late: asyncio.TimerHandle | None = None
+        self._late: asyncio.Handle | None = None
         self._stuck: asyncio.TimerHandle | None = None
         self._last: asyncio.Future[None] | None = None  # the latest write not taken at once
         stream.set_nodelay(True)
@@ -73,7 +74,7 @@
             return True
 
     def unread(self) -> bool:
-        """Have bytes come that the loop has not read yet? They are younger than `last_read`."""
+        """Have bytes come that `run` has not been told of yet? They are younger than `last_read`."""
         try:
             return not self.closed and bool(self._peek())
         except OSError:
@@ -94,7 +95,15 @@
     def expect(self) -> None:
         """A whole message must come in time from now, or the connection is closed."""
         if self._late is None and not self.closed:
-            self._late = asyncio.get_running_loop().call_later(self.message_within, lambda: self.late())
+            loop = asyncio.get_running_loop()
+            self._late = loop.call_later(self.message_within, self._expired, READ_TURNS)
+
+    def _expired(self, turns: int) -> None:
+        """The time for a whole message is over; after a pause of this process its rest may be there unread."""
+        if turns:
+            self._late = asyncio.get_running_loop().call_soon(self._expired, turns - 1)
+        else:
+            self.late()
 
     def took(self, messages: int, partial: bool) -> None:
         """So many whole messages were read just now, and perhaps a part of another, whose time runs."""
--- /dev/null
+++ b/tests/test_pauses.py
@@ -0,0 +1,69 @@
+"""This process stands still for a moment: what peers sent meanwhile is in the sockets, and timers are overdue."""
+
+import time
+from unittest import mock
+
+from seamlb.net import connection
+from tests.loopback import SDP, ScriptedDesk, Story, bye, invite, plain, reply, silent
+
+ID = "00000000000000a1"
+
+
+class Pauses(Story):
+    async def test_an_answer_that_came_meanwhile_is_no_time_out(self) -> None:
+        # Guards a call that stands at its server from being given up by the attempt's timer.
+        desk = ScriptedDesk(silent)
+        await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite(timer=100))
+        sent = await desk.until("INVITE")
+        desk.peers[0].send(reply(sent, 200, body=SDP))
+        time.sleep(0.3)
+        self.assertEqual((await caller.next()).status, 200)
+        desk.peers[0].send(bye(ID, 16))
+        self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
+        seen = [desk.seen.get_nowait().method for _ in range(desk.seen.qsize())]
+        self.assertNotIn("CANCEL", seen)
+
+    async def test_an_answer_whose_rest_came_meanwhile_is_whole_in_time(self) -> None:
+        # Guards the set-ups and calls of a server's connection from its timer of half messages.
+        desk = ScriptedDesk(silent)
+        daemon = await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        answer = reply(await desk.until("INVITE"), 200, body=SDP).encode()
+        desk.peers[0].send(answer[:30])
+        (link,) = daemon.desks.links.values()
+        await self.eventually(link.open[0].in_use)
+        desk.peers[0].send(answer[30:])
+        time.sleep(0.4)
+        self.assertEqual((await caller.next()).status, 200)
+        self.assertEqual(self.events("connection_end"), [])
+
+    async def test_a_set_up_whose_rest_came_meanwhile_is_answered(self) -> None:
+        # Guards callers from the same timer on their side.
+        self.enterContext(mock.patch.object(connection, "MESSAGE_WITHIN", 0.2))
+        daemon = await self.start(ScriptedDesk())
+        caller = await self.caller()
+        whole = invite().encode()
+        caller.send(whole[:30])
+        await self.eventually(lambda: any(one.framer.data for one in daemon.front.clients))
+        caller.send(whole[30:])
+        time.sleep(0.4)
+        self.assertEqual((await caller.next()).status, 200)
+
+    async def test_a_message_that_stays_half_is_still_ended_in_time(self) -> None:
+        # A byte that came meanwhile gives the rest no more than a moment.
+        self.enterContext(mock.patch.object(connection, "MESSAGE_WITHIN", 0.2))
+        daemon = await self.start(ScriptedDesk())
+        caller = await self.caller()
+        whole = plain("OPTIONS", "t").encode()
+        caller.send(whole[:10])
+        await self.eventually(lambda: any(one.framer.data for one in daemon.front.clients))
+        caller.send(whole[10:11])
+        began = time.monotonic()
+        time.sleep(0.3)
+        with self.assertRaises(EOFError):
+            await caller.next()
+        self.assertLess(time.monotonic() - began, 0.3 + connection.MESSAGE_WITHIN)
+        self.assertEqual(self.events("connection_end")[-1]["reason"], "slow")
