Count bytes that the stream has read as unread until they are handed on

Callers saw: 503 for a call whose answer had come, where a pause of 0.1 s or more followed the news of a server's state. Cause: Link._close_deaf ends connections on which nothing has come, by last_read and a look into the socket. In the turn after a pause the stream has emptied the socket and the connection's coroutine has not been told (net/connection.py). Why this works: Connection.unread and quiet also ask the read that is done and not handed on. Looked at for the same fault: Keeper and Lifecycle.spares act behind the readers; Listener._make_room is only suspected (docs/incidents/2026-12-03-late-message.md).

--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -47,6 +47,7 @@
         self.linger = LINGER
         self._discarded = 0
         self._late: asyncio.Handle | None = None
+        self._incoming: asyncio.Future[bytes] | None = None  # the read that `run` waits for
         self._stuck: asyncio.TimerHandle | None = None
         self._last: asyncio.Future[None] | None = None  # the latest write not taken at once
         stream.set_nodelay(True)
@@ -73,10 +74,15 @@
         except OSError:
             return True
 
+    def _taken_in(self) -> bool:
+        """Has the stream read bytes in this turn of the loop, of which `run` is told in the next?"""
+        read = self._incoming
+        return read is not None and read.done() and not read.cancelled() and read.exception() is None
+
     def unread(self) -> bool:
         """Have bytes come that `run` has not been told of yet? They are younger than `last_read`."""
         try:
-            return not self.closed and bool(self._peek())
+            return not self.closed and (self._taken_in() or bool(self._peek()))
         except OSError:
             return False
 
@@ -88,7 +94,7 @@
         if self.closed or self.in_use() or asyncio.get_running_loop().time() - self.last_read < least:
             return False
         try:
-            return not self.stream.writing() and not self._peek()
+            return not self.stream.writing() and not self._taken_in() and not self._peek()
         except OSError:
             return False  # the reader sees it too
 
@@ -118,7 +124,9 @@
         loop = asyncio.get_running_loop()
         try:
             while True:
-                data = await self.stream.read_bytes(TURN, partial=True)
+                self._incoming = asyncio.ensure_future(self.stream.read_bytes(TURN, partial=True))
+                data = await self._incoming
+                self._incoming = None
                 if self.ending:
                     self.residue(data)
                     await self._discard(len(data))
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -1,14 +1,23 @@
 """This process stands still for a moment: what peers sent meanwhile is in the sockets, and timers are overdue."""
 
+import asyncio
 import time
 from unittest import mock
 
+from seamlb.desks.link import DEAF
 from seamlb.net import connection
+from seamlb.protocol.sip import Message
 from tests.loopback import SDP, ScriptedDesk, Story, bye, invite, plain, reply, silent
 
 ID = "00000000000000a1"
 
 
+def state() -> Message:
+    """A server's unasked state."""
+    headers = [("Call-ID", "0"), ("CSeq", "1 NOTIFY"), ("X-Occupancy", "idle:5;circuits:5")]
+    return Message("NOTIFY", "sip:exchange@net", headers=headers)
+
+
 class Pauses(Story):
     async def test_an_answer_that_came_meanwhile_is_no_time_out(self) -> None:
         # Guards a call that stands at its server from being given up by the attempt's timer.
@@ -52,6 +61,25 @@
         time.sleep(0.4)
         self.assertEqual((await caller.next()).status, 200)
 
+    async def test_a_connection_on_which_an_answer_came_meanwhile_is_not_silent(self) -> None:
+        # Guards a set-up from the timer that ends connections on which the server tells nothing.
+        desk = ScriptedDesk(silent)
+        daemon = await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        answer = reply(await desk.until("INVITE"), 200, body=SDP)
+        await asyncio.sleep(2 * DEAF)  # the first connection has been quiet for longer than that
+        (link,) = daemon.desks.links.values()
+        await self.eventually(lambda: len(link.open) == 2)  # as the set-up has no answer, another one tests it
+        told = mock.Mock(wraps=link.state_told)
+        with mock.patch.object(link, "state_told", told):
+            desk.peers[1].send(state())
+            await self.eventually(lambda: told.called)
+        desk.peers[0].send(answer)
+        time.sleep(3 * DEAF)
+        self.assertEqual((await caller.next()).status, 200)
+        self.assertNotIn("silent", [one["reason"] for one in self.events("connection_end")])
+
     async def test_a_message_that_stays_half_is_still_ended_in_time(self) -> None:
         # A byte that came meanwhile gives the rest no more than a moment.
         self.enterContext(mock.patch.object(connection, "MESSAGE_WITHIN", 0.2))
