Ask for command, what was seen and issue number in KNOWN-RED.txt, and name entries to remove

`make known-red` plays each listed test 20 times in a row and names those that pass all: their entries are to be removed.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = .venv/bin
 
-.PHONY: demo test lab clean
+.PHONY: demo test known-red lab clean
 
 demo: .venv/.serving
 	$(BIN)/python examples/demo.py
@@ -10,6 +10,9 @@
 test: .venv/.testing
 	$(BIN)/ruff format --check . && $(BIN)/ruff check . && $(BIN)/mypy && $(BIN)/python -m pytest -n 4 --dist worksteal
 
+known-red: .venv/.testing
+	$(BIN)/python -m tests.known_red
+
 lab: .venv/.testing
 	$(BIN)/python -m seamlb lab run examples/lab/flood.toml --out docs/results/lab
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -34,4 +34,6 @@
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
     for one in _listed(config):
-        terminalreporter.write_line(f"known red, passed over: {one.test}: {one.cause} ({one.issue})")
+        terminalreporter.write_line(
+            f"known red, passed over: {one.test}: {one.seen} ({one.issue}); play it: {one.command}"
+        )
