End the connections to servers in one step with the last caller's, so that no release is lost

Callers saw: at a restart or an upgrade, a call that stood was never released, though its server had sent the release. Cause: Daemon closed callers' connections at one look at the lifecycle and those to servers after a later one, up to 50 ms on, behind discovery and subsystems. A release in between was read, confirmed to its server, and told to nobody. The server sends a release that crossed the end on the next connection, as PROTOCOL says. Ruled out: the ReleaseQueue of the next process, which told those that came while no process was up.

--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -12,6 +12,7 @@
 from seamlb import __version__, log
 from seamlb.config import Config, ConfigError
 from seamlb.desks.platform import PlatformDesks
+from seamlb.drain import TEND_EVERY, Drain
 from seamlb.extras import Plugins
 from seamlb.fronts import management
 from seamlb.fronts.platform import PlatformFront
@@ -28,7 +29,6 @@
 
 SETTINGS = ("settings", "max_open", "connect_timeout")
 TAKEN_OVER = ("board", "known", "member_keys", "raw", *SETTINGS)  # by SIGHUP, beside what subsystems take
-TEND_EVERY = 0.05  # seconds between two looks at what the lifecycle wants of listeners and connections
 KNOW = 1.5  # seconds that a process which takes over waits for the board and the desks' state before it is ready
 
 
@@ -90,6 +90,7 @@
             )
         )
         self.desks = self.agent.desks = self.sip_desks or self.platform_desks
+        self.drain = Drain(self.lifecycle, self.agent, self.front, self.sip, self.platform_desks)
         self.lists, self.board = lists, lists.board
         self.following: list[asyncio.Task[None]] = []  # tasks that end with the daemon
         self.term = asyncio.Event()
@@ -166,11 +167,8 @@
 
     def tend(self) -> None:
         """Have the fronts do what the lifecycle and the list of servers say now."""
-        now = asyncio.get_running_loop().time()
         self.front.listener.set_limit(self._client_limit())
-        self.front.tend(now)
-        if self.sip:
-            self.sip.tend(now)
+        self.drain.tend()
 
     def figures(self) -> dict[str, Any]:
         """What `/admin/stats` shows."""
@@ -242,18 +240,9 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came during the start is heard now
         await self.start()
         await self.term.wait()
-        self.lifecycle.terminate(loop.time())
-        self.tend()  # from now on a shared socket is the other process's alone
-        log.event("draining", open=self.agent.unanswered)
         for part in self.parts:
             part.leave()
-        while not self.lifecycle.over(loop.time(), self.agent.unanswered, len(self.front.clients)):
-            await asyncio.sleep(TEND_EVERY)
-        if self.agent.unanswered:
-            log.event("drain_late", open=self.agent.unanswered)
-            self.agent.give_up()
-            await self.agent.idle.wait()
-        self.lifecycle.ended(loop.time())
+        await self.drain.run()
         await self.close()
         # The loop puts the defaults back when it closes: a signal until the exit must not end the drain as a crash.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -90,8 +90,12 @@
         while not all(link.tells or link.dead for link in self.links.values()):
             await asyncio.sleep(0.02)
 
+    def unread(self) -> bool:
+        """Has a server sent bytes that were not read yet? A release may be among them, and is sent once."""
+        return any(connection.unread() for link in self.links.values() for connection in link.open)
+
     def close(self) -> None:
-        """End all connections."""
+        """End all connections; may be called again."""
         self.owner.closing = True
         for link in list(self.links.values()):
             for connection in link.open[:]:
--- /dev/null
+++ b/seamlb/drain.py
@@ -0,0 +1,68 @@
+"""What the process does about its connections while it serves and as it ends, by what its lifecycle says."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from seamlb import log
+from seamlb.desks.platform import PlatformDesks
+from seamlb.fronts.platform import PlatformFront
+from seamlb.lifecycle import Lifecycle, Phase
+from seamlb.routing.agent import Agent
+
+if TYPE_CHECKING:
+    from seamlb.fronts.sip import SipFront  # loaded only where it is on
+
+TEND_EVERY = 0.05  # seconds between two looks at what the lifecycle wants of listeners and connections
+
+
+class Drain:
+    """Closes listeners and connections in good order; `sip` and `servers` may be off."""
+
+    def __init__(
+        self,
+        lifecycle: Lifecycle,
+        agent: Agent,
+        front: PlatformFront,
+        sip: SipFront | None,
+        servers: PlatformDesks | None,
+    ) -> None:
+        self.lifecycle, self.agent, self.front, self.sip, self.servers = lifecycle, agent, front, sip, servers
+        front.gone = self._leave_servers
+
+    def tend(self) -> None:
+        """Have the fronts do what the lifecycle says now."""
+        now = asyncio.get_running_loop().time()
+        if self.sip:
+            self.sip.tend(now)
+        draining = self.lifecycle.phase is Phase.DRAINING
+        if not (draining and self.servers and self.servers.unread()):  # else callers may have to be told first
+            self.front.tend(now)
+        self._leave_servers()
+
+    def _leave_servers(self) -> None:
+        """In a drain, end the connections to servers in one step with the last caller's.
+
+        A release taken after that could be told to nobody, and its server sends it to the next process only if this
+        one has not taken it.
+        """
+        draining = self.lifecycle.phase is Phase.DRAINING and not self.agent.unanswered
+        now = asyncio.get_running_loop().time()
+        if self.servers and draining and self.lifecycle.over(now, 0, self.front.connected()):
+            self.servers.close()
+
+    async def run(self) -> None:
+        """Drain: keep taking, answer all that was taken, until nothing is left or the time is over."""
+        loop = asyncio.get_running_loop()
+        self.lifecycle.terminate(loop.time())
+        self.tend()  # from now on a shared socket is the other process's alone
+        log.event("draining", open=self.agent.unanswered)
+        while not self.lifecycle.over(loop.time(), self.agent.unanswered, len(self.front.clients)):
+            await asyncio.sleep(TEND_EVERY)
+        if self.agent.unanswered:
+            log.event("drain_late", open=self.agent.unanswered)
+            self.agent.give_up()
+            await self.agent.idle.wait()
+        self._leave_servers()
+        self.lifecycle.ended(loop.time())
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import re
+from collections.abc import Callable
 
 from seamlb import log
 from seamlb.fronts.calls import Call, Client
@@ -41,6 +42,7 @@
         self.releases = ReleaseQueue()
         self.receivers: dict[Connection, Receiver] = {}
         self.lag: Lag | None = None
+        self.gone: Callable[[], None] = lambda: None  # told when a caller's connection has ended
 
     def start(self, descriptor: int | None = None) -> None:
         """Listen on our address, or on the socket that was handed down."""
@@ -63,6 +65,10 @@
             if not client.framer.data and client.connection.quiet(least):
                 client.connection.close(CloseReason.QUIESCED)
 
+    def connected(self) -> int:
+        """Callers' connections that can still be told something."""
+        return sum(not client.connection.closed for client in self.clients)
+
     def close(self) -> None:
         """Stop listening and end what is open."""
         self.listener.stop()
@@ -118,6 +124,7 @@
         self.receivers.pop(client.connection, None)
         for release in client.receiver.crossed():
             self._queue(release)
+        self.gone()
 
     def _malformed(self, client: Client, error: SipError) -> None:
         log.event("malformed", kind="client", peer=client.connection.peer, error=str(error))
--- /dev/null
+++ b/tests/test_last_releases.py
@@ -0,0 +1,47 @@
+"""Releases that come as the process ends: told to a caller that is still connected, or left to the next process."""
+
+import asyncio
+
+from tests.loopback import Peer, ScriptedDesk, Story, bye, invite
+
+ID = "00000000000000a1"
+
+
+class Ends(Story):
+    async def standing(self) -> tuple[ScriptedDesk, Peer]:
+        """A call that stands, in a process that closes its listener and its callers' connections at its next look."""
+        desk = ScriptedDesk()
+        self.daemon = await self.start(desk)
+        caller = await self.caller()
+        caller.send(invite())
+        await caller.until(200)
+        await desk.until("ACK")
+        self.daemon.lifecycle.terminate(asyncio.get_running_loop().time() - 1.0)
+        return desk, caller
+
+    async def test_a_release_that_comes_behind_the_last_caller_is_left_to_the_next_process(self) -> None:
+        # Guards the end of a call from being acknowledged to its server and told to nobody.
+        desk, caller = await self.standing()
+        peer = desk.peers[0]
+        self.daemon.tend()
+        peer.send(bye(ID, 16))
+        with self.assertRaises(EOFError):
+            await caller.next()
+        await self.eventually(lambda: peer.reader.at_eof() or peer.reader.exception() or self.events("call_end"))
+        self.assertEqual(self.events("call_end"), [])  # not taken
+
+    async def test_a_release_that_comes_as_the_last_caller_has_gone_by_itself_is_left_too(self) -> None:
+        desk, caller = await self.standing()
+        caller.close()
+        await self.eventually(lambda: not self.daemon.front.clients)
+        peer = desk.peers[0]
+        peer.send(bye(ID, 16))
+        await self.eventually(lambda: peer.reader.at_eof() or peer.reader.exception() or self.events("call_end"))
+        self.assertEqual(self.events("call_end"), [])  # not taken
+
+    async def test_a_release_that_is_in_the_socket_is_told_before_the_last_caller_goes(self) -> None:
+        # Guards the same release where it came first, and the loop has not come to it.
+        desk, caller = await self.standing()
+        desk.peers[0].send(bye(ID, 16))
+        self.daemon.tend()
+        self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -52,7 +52,18 @@
         "zones",
     },
     "optional_parts": {"desks", "extras", "fronts", "hook", "lifecycle", "routing", "sip"},
-    "daemon": {"__version__", "config", "desks", "extras", "fronts", "lifecycle", "optional_parts", "subsystems"}
+    "drain": {"desks", "fronts", "lifecycle", "log", "routing"},
+    "daemon": {
+        "__version__",
+        "config",
+        "desks",
+        "drain",
+        "extras",
+        "fronts",
+        "lifecycle",
+        "optional_parts",
+        "subsystems",
+    }
     | WIRES,
     "cli": {
         "__version__",
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -10,7 +10,7 @@
 STILL_LONGER = {
     "seamlb/agree/council.py": 269,
     "seamlb/api.py": 462,
-    "seamlb/daemon.py": 275,
+    "seamlb/daemon.py": 264,
     "seamlb/emulator/run.py": 360,
     "seamlb/fronts/sip.py": 312,
     "seamlb/members/swim.py": 394,
