Tell a release at once where the process ends and has no better connection to wait for

Callers saw: at a restart, a call of the process before was never released, where the only connections were of callers that had asked and not been served yet. Cause: ReleaseQueue waits 0.5 s for a connection known to serve calls; PlatformFront.tend closed all of them meanwhile. Evidence: test_last_releases, waits_for_a_better_connection: EOFError without the mend. Why this works: in the drain a release goes on any connection that has asked, before that is closed.

--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -11,7 +11,7 @@
 from seamlb.fronts.calls import Call, Client
 from seamlb.fronts.figures import ManagementCallError, figures, patience
 from seamlb.fronts.releases import UNTOLD, Receiver, Release, ReleaseQueue
-from seamlb.lifecycle import Lifecycle
+from seamlb.lifecycle import Lifecycle, Phase
 from seamlb.net.connection import MAX_UNSENT_CLIENT, Connection
 from seamlb.net.lag import Lag
 from seamlb.net.listener import Listener
@@ -59,6 +59,7 @@
         least = self.lifecycle.spares(now)
         if least == math.inf:
             return
+        self.flush()
         standing = {call.client for call in self.calls.values()} if self.lifecycle.keeps_standing else set()
         for client in self.clients - standing:
             # Half a message has its own time to become whole: its caller is not cut off in the middle.
@@ -91,9 +92,13 @@
             asyncio.get_running_loop().call_later(UNTOLD, self.flush)
 
     def flush(self) -> None:
-        """Tell the releases that wait on the connections there are, the latest used first among equals."""
+        """Tell the releases that wait on the connections there are, the latest used first among equals.
+
+        A process that ends has no better ones to wait for.
+        """
         receivers = (self.receivers.get(one) for one in reversed(self.listener.open))
-        self.releases.flush(one for one in receivers if one is not None)
+        ends = self.lifecycle.phase in (Phase.DRAINING, Phase.ENDED)
+        self.releases.flush((one for one in receivers if one is not None), at_once=ends)
 
     async def _serve(self, connection: Connection) -> None:
         client = Client(connection, Receiver(connection))
--- a/seamlb/fronts/releases.py
+++ b/seamlb/fronts/releases.py
@@ -79,10 +79,11 @@
     def __init__(self) -> None:
         self.pending: deque[Release] = deque(maxlen=MAX_PENDING)
 
-    def flush(self, receivers: Iterable[Receiver]) -> None:
+    def flush(self, receivers: Iterable[Receiver], at_once: bool = False) -> None:
         """Tell what waits on these connections, the best first: whoever had a call set up, in need whoever asked.
 
-        On one that only asks, as a crowd does, a release may be lost.
+        On one that only asks, as a crowd does, a release may be lost: a better one is waited for, unless it has to
+        be `at_once`.
         """
         if not self.pending:
             return
@@ -90,7 +91,8 @@
         able = sorted(receivers, key=lambda one: -one.connection.credit)
         while self.pending:
             release = self.pending[0]
-            least = SERVED if now - release.since < UNTOLD - TIMER_SLACK else ASKED
+            wait = not at_once and now - release.since < UNTOLD - TIMER_SLACK
+            least = SERVED if wait else ASKED
             if not any(one.tell(release) for one in able if one.connection.credit >= least):
                 return
             self.pending.popleft()
--- a/tests/test_last_releases.py
+++ b/tests/test_last_releases.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.loopback import Peer, ScriptedDesk, Story, bye, invite
+from tests.loopback import Peer, ScriptedDesk, Story, bye, invite, plain
 
 ID = "00000000000000a1"
 
@@ -45,3 +45,16 @@
         desk.peers[0].send(bye(ID, 16))
         self.daemon.tend()
         self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
+
+    async def test_a_release_that_waits_for_a_better_connection_is_told_before_the_last_caller_goes(self) -> None:
+        # Guards a call of the process before this one, whose end no connection known to serve calls is there for.
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        caller = await self.caller()
+        caller.send(plain("OPTIONS", "t"))
+        await caller.until(200)
+        desk.peers[0].send(bye(ID, 16))
+        await self.eventually(lambda: daemon.front.releases.pending)
+        daemon.lifecycle.terminate(asyncio.get_running_loop().time() - 1.0)
+        daemon.tend()
+        self.assertEqual((await caller.until("BYE")).get("call-id"), ID)
