Tell no release on a connection that owes an ACK while there are better ones

Callers saw: the end of a call was not told where its own connection had gone and a crowd was there that never reads. Cause: ReleaseQueue took the connection used last on which a call had been set up; a caller that never reads has one too. A first try that asked for an ACK before a connection counts as served was dropped: it would have taken places from callers that send none (test_platform, in_a_crowd, fails with it). Places are given as before.

--- a/seamlb/fronts/calls.py
+++ b/seamlb/fronts/calls.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from seamlb.fronts.releases import SERVED, Receiver
+from seamlb.fronts.releases import Receiver
 from seamlb.net.connection import Connection
 from seamlb.protocol.sip import Framer, Message, response
 from seamlb.routing.agent import Life
@@ -43,7 +43,7 @@
         """Pass the answer on; False if the caller can no longer be told."""
         told = self._final(response(self.invite, 200, body=description))
         if told:
-            self.client.connection.credit = SERVED
+            self.client.receiver.answered()
             self.front.flush()
         return told
 
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -151,7 +151,7 @@
             case "INVITE":
                 self._invite(client, message, ident, call)
             case "ACK":
-                pass
+                client.receiver.confirmed()
             case "":
                 client.receiver.heard(ident)
             case "CANCEL":
--- a/tests/test_last_releases.py
+++ b/tests/test_last_releases.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from seamlb.fronts.releases import CONFIRM_WITHIN
 from tests.loopback import Peer, ScriptedDesk, Story, bye, invite, plain
 
 ID = "00000000000000a1"
@@ -58,3 +59,25 @@
         daemon.lifecycle.terminate(asyncio.get_running_loop().time() - 1.0)
         daemon.tend()
         self.assertEqual((await caller.until("BYE")).get("call-id"), ID)
+
+
+class Deaf(Story):
+    async def test_a_release_goes_to_a_caller_that_is_known_to_read(self) -> None:
+        # Guards the end of a call from a connection whose caller never reads: it is served like any other.
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        good, deaf, gone = [await self.caller() for _ in range(3)]
+        good.send(invite("00000000000000a2"))
+        await good.until(200)
+        good.send(plain("ACK", "00000000000000a2"))
+        gone.send(invite(ID))
+        await gone.until(200)
+        gone.send(plain("ACK", ID))
+        deaf.send(invite("00000000000000a3"))
+        for _ in range(3):
+            await desk.until("ACK")
+        await asyncio.sleep(CONFIRM_WITHIN)  # in which the ACK of the deaf one's answer should have come
+        gone.close()
+        await self.eventually(lambda: len(daemon.front.clients) == 2)
+        desk.peers[0].send(bye(ID, 16))
+        self.assertEqual((await good.until("BYE")).get("call-id"), ID)
