--- a/seamlb/observations.py
+++ b/seamlb/observations.py
@@ -13,10 +13,10 @@
 from seamlb import api
 from seamlb.estimators import DecayingValue
 
-QUANTILE = 0.75  # paper, configuration 1: the upper quartile stands for x
-RECENT = 16  # ours: own set-up delays kept per server
-RECOVER_MS = 5000.0  # ours: evidence of a server fades with this, and older than this tells nothing
-FAULT_PART = 0.1  # ours: how much the latest answer counts in a server's share of faults
+QUANTILE = 0.75  # of recent delays a set-up: the paper's x, configuration 1
+RECENT = 16  # set-up delays of this node kept for a server
+RECOVER_MS = 5000.0  # ms in which evidence of a server fades; older than this it tells nothing
+FAULT_PART = 0.1  # weight of the latest answer in a server's share of faults
 
 Caller = tuple[int, int, int]  # number called, class, tenant: a retry has them all from the first try
 
--- a/seamlb/policy/callers.py
+++ b/seamlb/policy/callers.py
@@ -6,8 +6,8 @@
 from seamlb.estimators import TokenBucket
 from seamlb.observations import RECOVER_MS, Call, Caller
 
-BUSY_MS = 5000.0  # ours: a number whose lines are all busy is not asked for again for so long
-REMEMBERED = 4096  # ours: callers turned away that are remembered, against a flood of numbers
+BUSY_MS = 5000.0  # ms for which a number whose lines are all busy is not asked for again
+REMEMBERED = 4096  # callers turned away that are remembered, against a flood of numbers
 
 
 class Callers:
--- a/seamlb/policy/cold_start.py
+++ b/seamlb/policy/cold_start.py
@@ -4,7 +4,7 @@
 
 from seamlb.estimators import poisson_mean
 
-CHANCE = 1e-3  # ours: bound on the chance that all nodes together send a cold server too much in a window
+CHANCE = 1e-3  # bound on the chance that all nodes together send a cold server too much in a window
 
 
 def cold_budget(allowed: float, nodes: int) -> tuple[float, float]:
--- a/seamlb/policy/controller.py
+++ b/seamlb/policy/controller.py
@@ -10,12 +10,12 @@
 from seamlb.policy.ranking import Ranking
 from seamlb.policy.routing import Router
 
-PROCESSOR_FULL = 3  # wire: the note of a processor that turns set-ups away
-LINES_BUSY = 4  # wire: the note of a number whose lines are all busy
+PROCESSOR_FULL = 3  # note of a processor that turns set-ups away
+LINES_BUSY = 4  # note of a number whose lines are all busy
 BEAT = 1 << 63  # the token of the alarm that shows stalls; calls are below 2^52
-OVERTAKEN = 3  # ours: a set-up that so many later ones overtook is lost: a processor takes them in turn
-OVERTAKEN_MS = 50.0  # ours: how much later they must have been sent; what travels may change places
-FAULTY = 0.3  # ours: above this share a fault is the server's and not the call's
+OVERTAKEN = 3  # later set-ups answered after which one is lost: a processor takes them in turn
+OVERTAKEN_MS = 50.0  # ms by which they must have been sent later: what travels may change places
+FAULTY = 0.3  # share of faults above which a fault is the server's and not the call's
 
 
 class Controller:
--- a/seamlb/policy/gating.py
+++ b/seamlb/policy/gating.py
@@ -4,9 +4,9 @@
 from seamlb.policy.deadlines import meets_deadlines
 from seamlb.policy.node import STREAK, Node
 
-MARGIN = 0.9  # paper: f, the factor on the right side of (4) and (6) for level 1
-STEP_MS = 50.0  # paper: X, between adding (DESIGN: and lifting) one gapped class
-FLOOR_LOAD = 0.1  # ours: left side of (1) when all ranks run at their floors
+MARGIN = 0.9  # the paper's f, a factor on the right side of (4) and (6), for level 1
+STEP_MS = 50.0  # ms, the paper's X, between gapping (DESIGN: and lifting) one rank and the next
+FLOOR_LOAD = 0.1  # left side of (1) when all ranks run at their floors
 
 
 class Gate:
--- a/seamlb/policy/node.py
+++ b/seamlb/policy/node.py
@@ -9,11 +9,11 @@
 from seamlb.observations import RECOVER_MS, Fleet, Server
 from seamlb.policy.ranking import Ranking
 
-STREAK = 5  # paper: consecutive detections before a level changes, of all nodes: each sees its part
-STALL_MS = 250.0  # ours: a longer gap between two events is a stall of this node
-FADE_MS = 30000.0  # ours: time constant of this node's rate of answers
-SILENT_TIMES = 2.0  # ours: a server is silent after this many times its recent slowness
-USUAL = 2.0  # ours: answers that what the settings let a node expect weighs as much as
+STREAK = 5  # the paper's consecutive detections before a level changes, of all nodes: each sees its part
+STALL_MS = 250.0  # ms between two events beyond which this node stood still
+FADE_MS = 30000.0  # ms, time constant of this node's rate of answers
+SILENT_TIMES = 2.0  # times its recent slowness after which a server is silent
+USUAL = 2.0  # answers that what the settings let a node expect weighs as much as
 
 
 class Node:
--- a/seamlb/policy/ranking.py
+++ b/seamlb/policy/ranking.py
@@ -7,8 +7,8 @@
 
 from seamlb import api
 
-FLOORS = (10.0, 5.0, 0.5)  # paper: guaranteed rates of priorities 1, 2 and 3, here a ratio
-RESERVE = 0.35  # ours: roots of its lines kept, times the logarithm of how much less a call is worth
+FLOORS = (10.0, 5.0, 0.5)  # the paper's guaranteed rates of priorities 1, 2 and 3, here a ratio
+RESERVE = 0.35  # roots of its lines kept, times the logarithm of how much less a call is worth
 
 Traffic = tuple[int, int, int]  # class; 1 if over its tenant's share; 1 if a late retry
 
--- a/seamlb/policy/routing.py
+++ b/seamlb/policy/routing.py
@@ -8,9 +8,9 @@
 from seamlb.policy.gating import Gate
 from seamlb.policy.node import Node
 
-SPILL = 4.0  # ours: spill may fill a server up to this many times its part by lines
-SPILL_BURST = 2.0  # ours: spilt calls at once
-LIGHT_MS = 20.0  # ours: a delay that hardly counts against a route
+SPILL = 4.0  # times its part by lines that spill may fill a server up to
+SPILL_BURST = 2.0  # spilt calls at once
+LIGHT_MS = 20.0  # ms of delay that hardly count against a route
 
 
 class Router:
