Tell no release of another call where an answer still waits for its ACK, if there are better connections

Callers saw: the end of a call told to a connection of a crowd that never reads, within half a second of its own answer. Cause: the mend before let an answer wait 0.5 s for its ACK before its connection counted as one that may not read. Why this works: a connection without its ACK is never waited for and is the last in need. test_platform, in_a_crowd: its callers sent no ACK, which PROTOCOL has them do; they do now, all assertions as they were.

--- a/seamlb/fronts/calls.py
+++ b/seamlb/fronts/calls.py
@@ -44,7 +44,6 @@
         told = self._final(response(self.invite, 200, body=description))
         if told:
             self.client.receiver.answered()
-            self.front.flush()
         return told
 
     def refused(self, back_off_ms: float) -> None:
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -151,7 +151,8 @@
             case "INVITE":
                 self._invite(client, message, ident, call)
             case "ACK":
-                client.receiver.confirmed()
+                client.receiver.confirmed = True
+                self.flush()
             case "":
                 client.receiver.heard(ident)
             case "CANCEL":
--- a/seamlb/fronts/releases.py
+++ b/seamlb/fronts/releases.py
@@ -14,7 +14,6 @@
 TELL_WITHIN = 1.0  # seconds from a call's end within which its caller has to be told
 UNTOLD = 0.5  # seconds that a release waits for a caller known to be one; it must be told within TELL_WITHIN
 SERVED, ASKED = 2, 1  # a connection's credit: a call was set up on it, or a whole message has come
-CONFIRM_WITHIN = 0.5  # seconds for the ACK of an answer; who sends none may not read
 TIMER_SLACK = 0.01  # seconds by which a timer may be early
 
 
@@ -48,21 +47,12 @@
 
     connection: Connection
     unheard: dict[str, Release] = field(default_factory=dict)
-    unconfirmed: float | None = None  # since when an answer on it has had no ACK, in loop time
+    confirmed: bool = True  # no: an answer on it has had no ACK yet, and its caller may not read
 
     def answered(self) -> None:
         """A call was set up on it."""
         self.connection.credit = SERVED
-        if self.unconfirmed is None:
-            self.unconfirmed = asyncio.get_running_loop().time()
-
-    def confirmed(self) -> None:
-        """An ACK came: its caller reads."""
-        self.unconfirmed = None
-
-    def reads(self, now: float) -> bool:
-        """Is nothing known against its caller reading what is told?"""
-        return self.unconfirmed is None or now - self.unconfirmed < CONFIRM_WITHIN
+        self.confirmed = False
 
     def tell(self, release: Release) -> bool:
         """Tell a release; False if the connection has ended, or the other side has ended it."""
@@ -99,13 +89,13 @@
         """Tell what waits on these connections, the best first: whoever had a call set up, in need whoever asked.
 
         On one that only asks, as a crowd does, a release may be lost: a better one is waited for, unless it has to
-        be `at_once`. One whose caller does not read is the last.
+        be `at_once`. One whose caller may not read comes last.
         """
         if not self.pending:
             return
         now = asyncio.get_running_loop().time()
-        able = sorted(receivers, key=lambda one: (one.reads(now), one.connection.credit), reverse=True)
-        good = [one for one in able if one.reads(now) and one.connection.credit >= SERVED]
+        able = sorted(receivers, key=lambda one: (one.confirmed, one.connection.credit), reverse=True)
+        good = [one for one in able if one.confirmed and one.connection.credit >= SERVED]
         asked = [one for one in able if one.connection.credit >= ASKED]
         while self.pending:
             release = self.pending[0]
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -21,6 +21,7 @@
         self.framer = Framer()
         self.transport: asyncio.Transport | None = None
         self.open = False
+        self.used = asyncio.get_running_loop().time()  # when a call last had a message on it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -31,6 +32,8 @@
         self.framer.feed(data)
         for message in self.framer.messages():
             if isinstance(message, Message):
+                if message.cseq()[1] != "OPTIONS":
+                    self.used = asyncio.get_running_loop().time()
                 self.took(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -196,6 +196,7 @@
         for caller, ident in ((first, ID), (second, "00000000000000a2")):
             caller.send(invite(ident))
             await caller.until(200)
+            caller.send(plain("ACK", ident))
         for _ in range(4):
             crowd = await self.caller()
             crowd.send(plain("OPTIONS", "t"))
