Confirm a release of an earlier process only once a caller was told, and count no caller that never reads as the last

Cause: PlatformDesks confirmed each release as it came; the ReleaseQueue's rest goes with the process. Drain counted every open connection as one on which callers can be told. With no caller left that reads, servers' connections end. Two faults in one commit, as both are the same few lines and were seen together.

--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -85,7 +85,7 @@
                 settings.fields,
                 config.connect_timeout,
                 self.agent.sampled,
-                self.front.release,
+                self.front.stray,
                 self.agent.counters.relay,
             )
         )
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -26,12 +26,12 @@
         fields: Sequence[str],
         connect_timeout: float,
         sampled: Callable[[str, tuple[float, ...]], None],
-        stray: Callable[[str, int], None],
+        stray: Callable[[str, int, Callable[[], object]], None],
         relayed: Callable[[], None] = lambda: None,
     ) -> None:
         self.fields = fields
         self.sampled = sampled
-        self.stray = stray  # the release of a call that this process never knew
+        self.stray = stray  # the release of a call that this process never knew; to be called back once it is told
         self.owner = LinkOwner(connect_timeout, relayed, self._message, self._salvaged)
         self.legs, self.tasks = self.owner.legs, self.owner.tasks
         self.links: dict[str, Link] = {}
@@ -122,10 +122,14 @@
             link.state_told(connection)
             if report := self._report(message):
                 self.sampled(link.desk.ident, report)
-        elif message.method in ("BYE", "OPTIONS"):
+        elif message.method == "OPTIONS":
             connection.send(response(message, 200).encode())
-            if message.method == "BYE":
-                self._released(self._key_at(link, message.get("call-id")), message)
+        elif message.method == "BYE":
+            self._released(
+                self._key_at(link, message.get("call-id")),
+                message,
+                lambda: connection.send(response(message, 200).encode()),
+            )
         elif message.status >= 200 and message.cseq()[1] == "INVITE":
             self._final(link, connection, message)
 
@@ -155,16 +159,18 @@
             leg.stands = True
             leg.heard(leg.attempt.leg, Answer(message.body))
 
-    def _released(self, key: Key, message: Message) -> None:
+    def _released(self, key: Key, message: Message, confirm: Callable[[], object]) -> None:
         told = parameter(message.get("reason"), "cause")
         cause = int(told) if told.isdigit() else CUT
+        if not self.legs.known(key):
+            # A call that stood before this process started. Confirmed once its client has heard of its end: until
+            # then it is the server's to tell, as this process may end before it has a client at all.
+            return self.stray(key[1], cause, confirm)
+        confirm()
         if leg := self.legs.get(key):
             # Before its answer too: the call stood there and has come to its end, only its answer is late or lost.
             status = Status.OK if cause == NORMAL else Status.RESET
             self.legs.end(leg, Outcome(status, 0, self._report(message), cause))
-        elif not self.legs.known(key):
-            # A call that stood before this process started: its client still has to hear of its end.
-            self.stray(key[1], cause)
 
     def _salvaged(self, link: Link, message: Message) -> None:
         """A release out of bytes that can't be framed counts for a call that stands."""
@@ -172,7 +178,7 @@
         if (leg := self.legs.get(key)) and leg.stands:
             if not message.get("reason"):  # cut off before it
                 message.headers.append(reason(NORMAL))
-            self._released(key, message)
+            self._released(key, message, lambda: None)
 
     def _report(self, message: Message) -> tuple[float, ...]:
         return parse_report(message.get("x-occupancy"), self.fields)
--- a/seamlb/drain.py
+++ b/seamlb/drain.py
@@ -45,14 +45,14 @@
         return self.agent.has_untold() or (self.servers is not None and self.servers.unread())
 
     def _leave_servers(self) -> None:
-        """In a drain, end the connections to servers in one step with the last caller's.
+        """In a drain, end the connections to servers in one step with the last caller's that reads.
 
         A release taken after that could be told to nobody, and its server sends it to the next process only if this
         one has not taken it.
         """
         draining = self.lifecycle.phase is Phase.DRAINING and not self.agent.unanswered
         now = asyncio.get_running_loop().time()
-        if self.servers and draining and self.lifecycle.over(now, 0, self.front.connected()):
+        if self.servers and draining and self.lifecycle.over(now, 0, self.front.reachable()):
             self.servers.close()
 
     async def run(self) -> None:
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -66,9 +66,9 @@
             if not client.framer.data and client.connection.quiet(least):
                 client.connection.close(CloseReason.QUIESCED)
 
-    def connected(self) -> int:
-        """Callers' connections that can still be told something."""
-        return sum(not client.connection.closed for client in self.clients)
+    def reachable(self) -> int:
+        """Callers' connections that can still be told something, whose callers are not known to leave it unread."""
+        return sum(not client.connection.closed and client.receiver.confirmed for client in self.clients)
 
     def close(self) -> None:
         """Stop listening and end what is open."""
@@ -84,6 +84,10 @@
         if first is None or not first.receiver.tell(release):
             self._queue(release)
 
+    def stray(self, ident: str, cause: int, told: Callable[[], object]) -> None:
+        """Tell callers that a call of an earlier process is over; `told` is called once they are."""
+        self._queue(Release.of(ident, cause, told))
+
     def _queue(self, release: Release) -> None:
         """Tell it on another connection of callers, now or when there is one."""
         self.releases.pending.append(release)
--- a/seamlb/fronts/releases.py
+++ b/seamlb/fronts/releases.py
@@ -4,8 +4,8 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
 
 from seamlb.net.connection import Connection
 from seamlb.protocol.sip import Message
@@ -24,9 +24,10 @@
     since: float  # loop time at which it was over
     ident: str
     data: bytes
+    told: Callable[[], object] = lambda: None  # called once it has been told
 
     @classmethod
-    def of(cls, ident: str, cause: int) -> Release:
+    def of(cls, ident: str, cause: int, told: Callable[[], object] = lambda: None) -> Release:
         """The release of a call that is over now, with its Q.850 cause."""
         message = Message(
             "BYE",
@@ -38,7 +39,7 @@
                 ("Reason", f"Q.850;cause={cause}"),
             ],
         )
-        return cls(asyncio.get_running_loop().time(), ident, message.encode())
+        return cls(asyncio.get_running_loop().time(), ident, message.encode(), told)
 
 
 @dataclass(slots=True, eq=False)
@@ -60,6 +61,7 @@
             return False
         self._forget_old()
         self.unheard[release.ident] = release
+        release.told()
         return True
 
     def heard(self, ident: str) -> None:
@@ -69,7 +71,7 @@
     def crossed(self) -> list[Release]:
         """The connection has ended: what was told just before may not have been read. Told twice it does no harm."""
         self._forget_old()
-        crossed = list(self.unheard.values())
+        crossed = [replace(one, told=lambda: None) for one in self.unheard.values()]
         self.unheard.clear()
         return crossed
 
--- a/tests/test_last_releases.py
+++ b/tests/test_last_releases.py
@@ -5,7 +5,7 @@
 from seamlb import api
 from seamlb.routing.life import Heard
 from seamlb.routing.model import Outcome
-from tests.loopback import Peer, ScriptedDesk, Story, bye, invite, plain
+from tests.loopback import PATIENCE, Peer, ScriptedDesk, Story, bye, invite, plain
 
 ID = "00000000000000a1"
 
@@ -18,7 +18,9 @@
         caller = await self.caller()
         caller.send(invite())
         await caller.until(200)
+        caller.send(plain("ACK", ID))
         await desk.until("ACK")
+        await self.eventually(self.daemon.front.reachable)
         self.daemon.lifecycle.terminate(asyncio.get_running_loop().time() - 1.0)
         return desk, caller
 
@@ -42,6 +44,21 @@
         await self.eventually(lambda: peer.reader.at_eof() or peer.reader.exception() or self.events("call_end"))
         self.assertEqual(self.events("call_end"), [])  # not taken
 
+    async def test_a_caller_that_never_reads_does_not_count_as_the_last(self) -> None:
+        desk, caller = await self.standing()
+        deaf = await self.caller()
+        deaf.send(invite("00000000000000a2"))  # stands, and no ACK comes
+        await desk.until("ACK")
+        last = max(self.daemon.front.clients, key=lambda one: one.connection.last_read)
+        last.connection.in_use = lambda: True  # it stays for a moment, as with bytes unwritten
+        self.daemon.tend()
+        peer = desk.peers[0]
+        peer.send(bye(ID, 16))
+        with self.assertRaises(EOFError):
+            await caller.next()
+        await self.eventually(lambda: peer.reader.at_eof() or peer.reader.exception() or self.events("call_end"))
+        self.assertEqual(self.events("call_end"), [])  # not taken
+
     async def test_a_release_that_is_in_the_socket_is_told_before_the_last_caller_goes(self) -> None:
         # Guards the same release where it came first, and the loop has not come to it.
         desk, caller = await self.standing()
@@ -58,6 +75,21 @@
         self.daemon.tend()
         self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
 
+    async def test_a_release_that_nobody_could_be_told_is_not_confirmed(self) -> None:
+        # Guards a call of an earlier process where this one ends before it has a caller: its server tells the next.
+        desk = ScriptedDesk()
+        daemon = await self.start(desk)
+        desk.peers[0].send(bye(ID, 16))
+        await self.eventually(lambda: daemon.front.releases.pending)
+        desk.peers[0].send(plain("OPTIONS", "t"))  # answered behind the release
+        answer = await asyncio.wait_for(desk.seen.get(), PATIENCE)
+        self.assertEqual((answer.status, answer.cseq()[1]), (200, "OPTIONS"))
+        caller = await self.caller()
+        caller.send(plain("OPTIONS", "t"))
+        self.assertEqual((await caller.until("BYE")).get("call-id"), ID)
+        confirmed = await asyncio.wait_for(desk.seen.get(), PATIENCE)
+        self.assertEqual((confirmed.status, confirmed.cseq()[1]), (200, "BYE"))
+
     async def test_a_release_that_waits_for_a_better_connection_is_told_before_the_last_caller_goes(self) -> None:
         # Guards a call of the process before this one, whose end no connection known to serve calls is there for.
         desk = ScriptedDesk()
