--- a/tests/soak/agents.py
+++ b/tests/soak/agents.py
@@ -50,19 +50,26 @@
     }
 
 
+def reserve() -> socket.socket:
+    """A socket that holds an address for a process that will listen there, or be handed the socket."""
+    made = socket.socket()
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    made.bind(("127.0.0.1", 0))
+    return made
+
+
 class AgentProcesses:
     """One agent of the fleet."""
 
     def __init__(self, number: int, plan: Plan, board: str, known: Callable[[], Any], record: Record) -> None:
         self.number, self.plan, self.board, self.known, self.record = number, plan, board, known, record
         self.loop = asyncio.get_running_loop()
-        self.held = socket.create_server(("127.0.0.1", 0))
+        self.held, self.kept = reserve(), reserve()  # the front's address and the operators'
         self.listen = "{}:{}".format(*self.held.getsockname())
+        self.management = "{}:{}".format(*self.kept.getsockname())
         self.inherited = plan.inherited[number]
-        if not self.inherited:
-            self.held.close()
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.management = "{}:{}".format(*free.getsockname())
+        if self.inherited:
+            self.held.listen()
         self.version, self.starts = 0, 0
         self.config = record.folder / f"agent-{number}.json"
         self.process: asyncio.subprocess.Process | None = None
@@ -215,6 +222,9 @@
     def look(self) -> dict[str, float]:
         """What the process holds now; what is over its limit is a violation."""
         assert self.process is not None
+        if self.process.returncode is not None:
+            self.record.audit.report(self.loop.time(), "not running", f"agent {self.number}", "at the end")
+            return {"memory_mb": 0.0, "descriptors": 0}
         memory, descriptors = held_by(self.process.pid)
         if memory > MEMORY_MB or descriptors > SOCKETS:
             facts = f"{memory:.0f} MB, {descriptors} descriptors"
@@ -228,3 +238,4 @@
             await self._kill(self.process, self.plan.kill_after)
         await asyncio.gather(*self.waiting)
         self.held.close()
+        self.kept.close()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 import random
 import tempfile
 import time
+import traceback
 from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -208,7 +209,10 @@
 
 
 async def _play(seed: int, folder: Path) -> Verdict:
-    return await Run(draw(seed), folder).play()
+    try:
+        return await Run(draw(seed), folder).play()
+    except Exception as error:  # a fault of the harness is a failed run, and must not end the others
+        return Verdict(seed, [f"the harness: {error!r}\n{traceback.format_exc()}"])
 
 
 def play(seed: int, keep: str = "") -> Verdict:
