--- a/tests/soak/agents.py
+++ b/tests/soak/agents.py
@@ -7,7 +7,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -17,6 +16,7 @@
 from tests.soak.draw import KILL_AFTER, Plan
 from tests.soak.probes import held_by, operate, passes_test
 from tests.soak.record import Record
+from tests.soak.wire import reserve
 from tests.support import RAW
 
 SOCKETS = 384  # descriptors that a process may have
@@ -50,14 +50,6 @@
     }
 
 
-def reserve() -> socket.socket:
-    """A socket that holds an address for a process that will listen there, or be handed the socket."""
-    made = socket.socket()
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    made.bind(("127.0.0.1", 0))
-    return made
-
-
 class AgentProcesses:
     """One agent of the fleet."""
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -55,14 +55,18 @@
         self.record = Record(folder, ATTEMPTS_CAP)
         agents = len(plan.inherited)
         self.board = Board(self.record, agents)
+        self.all_servers: list[Server] = []
         self.servers = [self._server(number, 0) for number in range(plan.servers)]
+        self.turns = [asyncio.Lock() for _ in self.servers]  # one drain or crash of a server at a time
         self.agents: list[AgentProcesses] = []
         self.played: list[str] = []
         self.unknowable: set[str] = set()
 
     def _server(self, number: int, life: int) -> Server:
         rng = random.Random(f"{self.plan.seed} {number} {life}")
-        return Server(f"s{number}-{life}", len(self.plan.inherited), self.plan.holding, self.record, rng)
+        made = Server(f"s{number}-{life}", len(self.plan.inherited), self.plan.holding, self.record, rng)
+        self.all_servers.append(made)
+        return made
 
     async def play(self) -> Verdict:
         """Play it to its end."""
@@ -85,8 +89,10 @@
         self._judge_calls(callers)
         figures = self._figures(callers)
         await asyncio.gather(*(one.stop() for one in self.agents))
-        for server in self.servers:
+        for server in self.all_servers:
             await server.stop()
+            for address in server.addresses:
+                address.close()
         self.board.close()
         return self._verdict(figures)
 
@@ -137,12 +143,17 @@
                 await asyncio.sleep(fault.seconds)
                 setattr(server, name, False)
             case "crash":
-                await server.stop()
-                await asyncio.sleep(DOWN_FOR)
-                await server.start()
-                await self.board.tell(server.name, "Ready", server.ports, number, int(time.time() * 1000))
+                async with self.turns[number]:
+                    await self._crash(number, self.servers[number])
             case "drain":
-                await self._replace(number, server)
+                async with self.turns[number]:
+                    await self._replace(number, self.servers[number])
+
+    async def _crash(self, number: int, server: Server) -> None:
+        await server.stop()
+        await asyncio.sleep(DOWN_FOR)
+        await server.start()
+        await self.board.tell(server.name, "Ready", server.ports, number, int(time.time() * 1000))
 
     async def _replace(self, number: int, server: Server) -> None:
         """It drains, ends, and another server takes its place, cold."""
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -12,7 +12,7 @@
 from seamlb.protocol.sip import Message, response
 from tests.loopback import SDP, bye, reply
 from tests.soak.record import Record
-from tests.soak.wire import Wire
+from tests.soak.wire import Wire, reserve
 
 SET_UP = 0.003  # seconds of work for a set-up
 STATE_EVERY = 0.3  # seconds between two tellings of the state
@@ -20,7 +20,7 @@
 SLOW = (0.2, 0.8)  # seconds by which a slow server's answers are late
 PIECES, PIECE_EVERY = 3, 0.03  # how many, and seconds between them
 LINES = 200
-CUT, NORMAL = 41, 16  # Q.850 causes
+NORMAL = 16  # Q.850 cause
 
 
 @dataclass
@@ -49,7 +49,8 @@
         self.woken: list[Callable[[], None]] = []  # what a hung process does once it wakes
         self.ungreeted: list[tuple[int, Wire]] = []  # connections that came up during a hang
         self.listeners: list[asyncio.Server] = []
-        self.ports = [0] * agents
+        self.addresses = [reserve() for _ in range(agents)]  # held while no process listens there
+        self.ports = [one.getsockname()[1] for one in self.addresses]
         self.life = 0  # of the process: what an earlier one had to do is void
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -58,7 +59,6 @@
         self.life += 1
         for agent in range(self.agents):
             listener = await self.loop.create_server(self._accept(agent), "127.0.0.1", self.ports[agent])
-            self.ports[agent] = listener.sockets[0].getsockname()[1]
             self.listeners.append(listener)
         self._spawn(self._tell_state(self.life))
 
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -3,11 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from seamlb.protocol.sip import Framer, Message
 
 
+def reserve() -> socket.socket:
+    """A socket that holds an address for a process that will listen there, or be handed the socket."""
+    made = socket.socket()
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    made.bind(("127.0.0.1", 0))
+    return made
+
+
 class Wire(asyncio.Protocol):
     """One side of a TCP connection that speaks the platform's dialect."""
 
