Name connections in the log, and a call's server, connections and attempts at its end

Each connection has an id, in connection_end of connections that never came up too; call_end names the caller's connection, the last server and each attempt with its connection and result.

--- a/seamlb/desks/link.py
+++ b/seamlb/desks/link.py
@@ -167,6 +167,7 @@
 
     def _invite(self, leg: Leg, connection: Connection) -> None:
         leg.connection, leg.sent_at = connection, asyncio.get_running_loop().time()
+        leg.attempt.record.connection = connection.ident
         if not connection.send(invite(leg.attempt).encode(), self.context.on_relayed):
             self.legs.end(leg, Outcome(Status.RESET))
 
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -187,7 +187,7 @@
             return
         call = Call(self, client, message, ident)
         try:
-            request = self._parse_request(message, ident)
+            request = self._parse_request(message, ident, client.connection.ident)
         except InvalidCallError as error:
             client.connection.send(response(message, 400, ("Warning", f'399 seamlb "{error}"')).encode())
             return
@@ -203,7 +203,7 @@
         while len(self.reused_ids) > MAX_REUSED_IDS:
             del self.reused_ids[next(iter(self.reused_ids))]
 
-    def _parse_request(self, message: Message, ident: str) -> Request:
+    def _parse_request(self, message: Message, ident: str, connection: str = "") -> Request:
         settings = self.agent.settings
         name = message.get("x-cos")
         if name not in settings.class_ids:
@@ -236,4 +236,5 @@
             description=message.body,
             # The caller's time runs from when it sent the request: a stall of this process must not extend it.
             sent_ms_ago=self.lag.ms() if self.lag else 0.0,
+            connection=connection,
         )
--- a/seamlb/net/connecting.py
+++ b/seamlb/net/connecting.py
@@ -11,7 +11,7 @@
 from seamlb import log
 from seamlb.net.address import address_family, split_address
 from seamlb.net.close_reason import CloseReason
-from seamlb.net.connection import MAX_UNSENT, READ_CHUNK, Connection
+from seamlb.net.connection import MAX_UNSENT, READ_CHUNK, Connection, next_ident
 
 
 class ConnectError(Exception):
@@ -24,12 +24,12 @@
 
 async def connect(address: str, kind: str, timeout: float) -> Connection:
     """Open a connection within `timeout` seconds, or log the failure and raise ConnectError with its reason."""
+    ident = next_ident()
     host, port = split_address(address)
     try:
         sock = socket.socket(address_family(host))
     except OSError:  # no descriptor is left
-        log.event("connection_end", kind=kind, peer=address, reason=CloseReason.LIMIT.value)
-        raise ConnectError(CloseReason.LIMIT) from None
+        raise _failed(ident, kind, address, CloseReason.LIMIT) from None
     stream = IOStream(sock, max_buffer_size=4 * READ_CHUNK, max_write_buffer_size=MAX_UNSENT)
     try:
         await asyncio.wait_for(stream.connect((host, port)), timeout)
@@ -40,12 +40,17 @@
         reason = CloseReason.REFUSED if refused else CloseReason.PEER_RESET
     except asyncio.CancelledError:
         stream.close()
-        log.event("connection_end", kind=kind, peer=address, reason=CloseReason.SHUTDOWN.value)
+        _failed(ident, kind, address, CloseReason.SHUTDOWN)
         raise
     except OSError:
         reason = CloseReason.ERROR
     else:
-        return Connection(stream, kind, address)
+        return Connection(stream, kind, address, ident=ident)
     stream.close()
-    log.event("connection_end", kind=kind, peer=address, reason=reason.value)
-    raise ConnectError(reason)
+    raise _failed(ident, kind, address, reason)
+
+
+def _failed(ident: str, kind: str, address: str, reason: CloseReason) -> ConnectError:
+    """Log a failed attempt and return its error."""
+    log.event("connection_end", id=ident, kind=kind, peer=address, reason=reason.value)
+    return ConnectError(reason)
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -28,10 +29,21 @@
 LINGER_PAUSE = 0.002  # seconds between discarded chunks: a flood must not take the CPU from other callers
 
 
+_numbers = itertools.count(1)
+
+
+def next_ident() -> str:
+    """Return the id of a new connection in the log: unique in this process."""
+    return f"c{next(_numbers)}"
+
+
 class Connection:
     """One connection; `run` passes the received bytes to its caller until the connection ends."""
 
-    def __init__(self, stream: IOStream, kind: str, peer: str, write_timeout: float = WRITE_TIMEOUT) -> None:
+    def __init__(
+        self, stream: IOStream, kind: str, peer: str, write_timeout: float = WRITE_TIMEOUT, ident: str = ""
+    ) -> None:
+        self.ident = ident or next_ident()
         self.stream = stream
         self.kind = kind
         self.peer = peer
@@ -235,4 +247,4 @@
             self._cancel_timer()
             self._write_done(None)
             self.stream.close()
-            log.event("connection_end", kind=self.kind, peer=self.peer, reason=reason.value)
+            log.event("connection_end", id=self.ident, kind=self.kind, peer=self.peer, reason=reason.value)
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -138,10 +138,10 @@
         assert self.desks is not None and session.attempt is None
         timeout_ms = out.within or session.request.patience_ms
         # The desk may have been removed since the module chose it: connecting to the empty name then fails.
-        attempt = Attempt(session.request, session.attempts, self.desk_ids.get(out.server, ""), timeout_ms)
+        number, desk = session.attempts, self.desk_ids.get(out.server, "")
+        attempt = Attempt(session.request, number, desk, timeout_ms, session.start_leg(desk))
         session.attempt, session.server, session.sent_at = attempt, out.server, self.clock()
         self.open_legs[attempt.desk] += 1
-        session.attempts += 1
         seconds = max(0.0, timeout_ms) / 1000.0
         timer = asyncio.get_running_loop().call_later(seconds, session.inbox.put_nowait, TimedOut(attempt.leg))
         self.desks.set_up(attempt, lambda leg, result: session.inbox.put_nowait(AttemptUpdate(leg, result)))
@@ -169,7 +169,7 @@
         assert self.desks is not None and session.attempt is not None
         result = self._send_final_answer(session, answer)
         self.filter_chain.attempt_ended(self.clock() / 1000.0, session.number, api.Status.OK)
-        self.handle(api.Answered(session.number, session.attempt.leg, session.server, self._elapsed_ms(session)))
+        self.handle(api.Answered(session.number, session.attempt.leg, session.server, self.clock() - session.sent_at))
         if result == "stands":
             match await session.inbox.release(session.attempt.leg):
                 case AttemptUpdate(_, Outcome() as outcome):
@@ -223,13 +223,11 @@
             return
         self.filter_chain.attempt_ended(self.clock() / 1000.0, session.number, result.status)
         self._forward_idle_agents(attempt.desk, result.report)
-        delay, note, report = self._elapsed_ms(session), result.note, result.report
+        attempt.record.result = result.status.name.lower()
+        delay, note, report = self.clock() - session.sent_at, result.note, result.report
         self.handle(api.Ended(session.number, attempt.leg, session.server, result.status, final, delay, note, report))
         self._forget_if_unused(attempt.desk)
 
-    def _elapsed_ms(self, session: CallSession) -> float:
-        return self.clock() - session.sent_at
-
     def _clean_up_after_fault(self, session: CallSession) -> None:
         if session.attempt and self.desks:
             (self.desks.release(session.attempt, 41) if session.established else self.desks.cancel(session.attempt))
@@ -243,7 +241,7 @@
             self._forget_if_unused(attempt.desk)
         session.on_closed()
         request = session.request
-        log.event("call_end", call=request.ident, kind=request.class_name, result=result, attempts=session.attempts)
+        log.event("call_end", result=result, **session.log_fields())
         if self.advisor:
             self.advisor.observe(request, result, session.attempts)
         if self.observe:
--- a/seamlb/routing/call.py
+++ b/seamlb/routing/call.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from typing import Any
 
 from seamlb.routing.inbox import Inbox
 from seamlb.routing.messages import Action, AttemptUpdate, CallerGone, Overdue, Shutdown, TimedOut
-from seamlb.routing.model import Attempt, Caller, Request
+from seamlb.routing.model import Attempt, Caller, LegRecord, Request
 
 __all__ = ["Action", "AttemptUpdate", "CallSession", "CallerGone", "Overdue", "Shutdown", "TimedOut", "hash_key"]
 
@@ -28,6 +29,7 @@
     inbox: Inbox = field(default_factory=Inbox)
     attempt: Attempt | None = None  # the current one: never two attempts at once (rule 1)
     attempts: int = 0
+    legs: list[LegRecord] = field(default_factory=list)  # of all attempts, the oldest first
     server: int = -1  # the module's number of the attempt's desk
     sent_at: float = 0.0  # clock time at which the attempt started, ms
     answered: bool = False
@@ -36,3 +38,20 @@
     accepted_at: float = 0.0  # clock time of acceptance, ms; 0 unless times to answer are measured
     class_name: str = ""  # class named by the caller; local rules may assign the request another one
     on_closed: Callable[[], object] = lambda: None  # called at the end of the session
+
+    def start_leg(self, desk: str) -> LegRecord:
+        """Add and return the record of a new attempt."""
+        self.attempts += 1
+        self.legs.append(LegRecord(desk))
+        return self.legs[-1]
+
+    def log_fields(self) -> dict[str, Any]:
+        """What the log tells of the call at its end; `desk` is the last one that it was sent to."""
+        return {
+            "call": self.request.ident,
+            "kind": self.request.class_name,
+            "attempts": self.attempts,
+            "client": self.request.connection,
+            "desk": self.legs[-1].desk if self.legs else "",
+            "legs": [leg.fields() for leg in self.legs],
+        }
--- a/seamlb/routing/model.py
+++ b/seamlb/routing/model.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from seamlb.api import Availability, Scope, Settings, Status
@@ -19,6 +19,7 @@
     "DeskClient",
     "DeskListCallback",
     "Discovery",
+    "LegRecord",
     "Outcome",
     "Peers",
     "Request",
@@ -46,6 +47,20 @@
     description_type: str = "application/sdp"
     tenant_name: str = ""
     sent_ms_ago: float = 0.0
+    connection: str = ""  # id of the caller's connection, for the log
+
+
+@dataclass(slots=True)
+class LegRecord:
+    """What the log tells of one attempt, kept until its call ends."""
+
+    desk: str = ""
+    connection: str = ""  # id of the connection that carried it; empty: none did
+    result: str = ""
+
+    def fields(self) -> dict[str, str]:
+        """The record as part of a log line."""
+        return {"desk": self.desk, "connection": self.connection, "result": self.result}
 
 
 @dataclass(slots=True, frozen=True)
@@ -56,6 +71,7 @@
     leg: int
     desk: str
     timeout_ms: float
+    record: LegRecord = field(default_factory=LegRecord, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
