Lose no cancellation where a connection comes up: the newest discovery address is asked

Callers saw: set-ups sent to a draining server 2 s after the grace; the process never heard its discovery again.

Cause: on Python 3.11 asyncio.wait_for returns its result and drops a cancellation that falls into the same turn of the loop. connect() used it, so a poll whose connection came up as the address changed, or as the process ended, went on for good at the old address, and Board.run and Daemon.close waited for it without a bound.

Tasks that have to end have 0.5 s for it, and the log names those that took longer.

A connection comes up a turn sooner now; a test that counted connections after an answer depended on that turn (an idle first connection may go at once), so it counts them while the set-up is open.

--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -19,6 +19,7 @@
 from seamlb.lifecycle import Lifecycle
 from seamlb.net import descriptors
 from seamlb.net.address import split_address
+from seamlb.net.tasks import end_tasks
 from seamlb.optional_components import hook, sip_desks, sip_front
 from seamlb.routing.agent import Agent, Clock
 from seamlb.routing.model import Discovery, Request
@@ -250,9 +251,7 @@
 
     async def close(self) -> None:
         """Flush queued bytes and close everything."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks("daemon", self.tasks)
         self.front.close()
         self.management.close()
         for subsystem in self.subsystems:
--- a/seamlb/desks/connection_manager.py
+++ b/seamlb/desks/connection_manager.py
@@ -69,7 +69,8 @@
         """Wait until the connections have to be checked, at most this many seconds."""
         self.link.wakeup.clear()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self.link.wakeup.wait(), seconds)
+            async with asyncio.timeout(seconds):
+                await self.link.wakeup.wait()
 
     def _close_unused(self) -> bool:
         """Close one connection without set-ups; False if all have some, which will time out and free a connection."""
--- a/seamlb/emulator/load.py
+++ b/seamlb/emulator/load.py
@@ -172,7 +172,8 @@
         serving.set()
 
     reading = asyncio.create_task(read())
-    await asyncio.wait_for(serving.wait(), 20.0)
+    async with asyncio.timeout(20.0):
+        await serving.wait()
     if load.front not in addresses:
         raise RuntimeError(f"the agent does not listen on front {load.front}")
     callers = Callers(load, audit, addresses[load.front])
--- a/seamlb/emulator/loaddesks.py
+++ b/seamlb/emulator/loaddesks.py
@@ -163,7 +163,8 @@
                 if known_rev >= self.rev:
                     self.update.clear()
                     with contextlib.suppress(TimeoutError):
-                        await asyncio.wait_for(self.update.wait(), 1.9)
+                        async with asyncio.timeout(1.9):
+                            await self.update.wait()
                 changes = self.changed if known_rev < self.rev else []
                 pool = {"complete": False, "members": changes}
                 notices = [{"rev": self.rev, "pool": pool}] if changes else []
--- a/seamlb/net/connecting.py
+++ b/seamlb/net/connecting.py
@@ -32,7 +32,8 @@
         raise _failed(ident, kind, address, CloseReason.LIMIT) from None
     stream = IOStream(sock, max_buffer_size=4 * READ_CHUNK, max_write_buffer_size=MAX_UNSENT)
     try:
-        await asyncio.wait_for(stream.connect((host, port)), timeout)
+        async with asyncio.timeout(timeout):
+            await stream.connect((host, port))
     except TimeoutError:
         reason = CloseReason.CONNECT_TIMEOUT
     except StreamClosedError as error:
--- /dev/null
+++ b/seamlb/net/tasks.py
@@ -0,0 +1,25 @@
+"""Ends background tasks within a bounded time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection
+
+from seamlb import log
+
+END_WITHIN = 0.5  # seconds a cancelled task may take to end
+
+
+async def end_tasks(owner: str, tasks: Collection[asyncio.Task[None]], within: float = END_WITHIN) -> None:
+    """Cancel tasks and wait until they have ended, at most `within` seconds; the log names those that have not."""
+    for task in tasks:
+        task.cancel()
+    if not tasks:
+        return
+    done, overdue = await asyncio.wait(tasks, timeout=within)
+    for task in done:
+        if not task.cancelled():
+            task.exception()  # retrieved, so that the event loop does not report it again
+    if overdue:
+        names = [task.get_coro().__qualname__ for task in overdue]  # type: ignore[union-attr]
+        log.event("tasks_overdue", owner=owner, tasks=names, seconds=within)
--- a/seamlb/plugins/control.py
+++ b/seamlb/plugins/control.py
@@ -21,6 +21,7 @@
 MAX_LINE_BYTES = 64 << 10
 MAX_CLIENTS = 32
 IDLE_TIMEOUT_S = 30.0
+END_WITHIN_S = 0.5  # for the tasks of its clients, at the end
 
 Handler = Callable[[dict[str, Any]], Any]
 
@@ -59,7 +60,9 @@
             return
         self.clients.add(task)
         try:
-            while line := await asyncio.wait_for(reader.readuntil(b"\n"), IDLE_TIMEOUT_S):
+            while True:
+                async with asyncio.timeout(IDLE_TIMEOUT_S):
+                    line = await reader.readuntil(b"\n")
                 writer.write(orjson.dumps(self._reply(line), default=str) + b"\n")
                 await writer.drain()
         except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, TimeoutError, OSError):
@@ -86,9 +89,10 @@
         """Stop listening, close open connections and remove the socket file."""
         if self.server is not None:
             self.server.close()
-            for task in list(self.clients):
+            for task in self.clients:
                 task.cancel()
-            await asyncio.gather(*self.clients, return_exceptions=True)
+            if self.clients:
+                await asyncio.wait(set(self.clients), timeout=END_WITHIN_S)
             with contextlib.suppress(OSError):
                 Path(self.path).unlink()
 
--- a/tests/test_desk_silence.py
+++ b/tests/test_desk_silence.py
@@ -5,7 +5,7 @@
 
 from seamlb import api
 from seamlb.daemon import Daemon
-from seamlb.desks.connection_manager import CALL_SILENCE, RETRY_MAX, UNREACHABLE_AFTER
+from seamlb.desks.connection_manager import CALL_SILENCE, RETRY_MAX, SETUP_SILENCE, UNREACHABLE_AFTER
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connecting import ConnectError
 from seamlb.net.connection import Connection
@@ -68,10 +68,11 @@
         caller = await self.caller()
         caller.send(invite())
         sent = await desk.until("INVITE")
-        await self.eventually(lambda: len(desk.peers) == 2)
+        await self.eventually(lambda: len(daemon.desks.links["d0"].connections) == 2)
+        await asyncio.sleep(SETUP_SILENCE)  # both stay while the set-up on the first is open
+        self.assertEqual(len(daemon.desks.links["d0"].connections), 2)
         await ScriptedDesk().script(desk.peers[0], sent)  # it was only slow: its answer is accepted
         self.assertEqual((await caller.until(200)).body, SDP)
-        self.assertEqual(len(daemon.desks.links["d0"].connections), 2)
 
     async def test_a_connect_timeout_cuts_no_call_at_a_desk_that_refuses_other_connections(self) -> None:
         # A connect that took over 0.5 s closed the open connection, and the refusal after it cut live calls, whose
