Release the calls of a vanished server by one deadline from its last sign of life

Callers saw: the release of calls whose server had vanished came 8.8 s or later after its last sign of life; 8 s are promised.

Cause: the server was given up only when an attempt to connect ended, 6 s after the first attempt that had failed, and a connection that its kernel still accepted took that clock back. Silence, look, connect time, state, pauses and one more attempt added up.

Fix: desks/liveness.py says once what a sign of life is (a byte on any connection; not the kernel's accept alone) and when the calls are cut: 7 s after the last one, by a timer of its own that is set as a call is established. An attempt may come up late (1.5 s) beyond the connect time of set-ups; a server that refuses others and keeps an open connection is asked there with a test. server_state tells each change of what is believed, why and how many calls were cut.

UNREACHABLE_AFTER is gone: its two tests hold CUT_AFTER and the time measured against 8 s instead.

--- a/seamlb/desks/connection_manager.py
+++ b/seamlb/desks/connection_manager.py
@@ -7,21 +7,24 @@
 from typing import TYPE_CHECKING
 
 from seamlb import log
-from seamlb.desks.reader import ServerReader
+from seamlb.desks.connection_attempt import ConnectionAttempt
+from seamlb.desks.liveness import Belief, Liveness
+from seamlb.desks.requests import ping
 from seamlb.net.close_reason import CloseReason
-from seamlb.net.connecting import ConnectError, connect
-from seamlb.net.connection import Connection
+from seamlb.net.connection import GRACE_TURNS
 
 if TYPE_CHECKING:
     from seamlb.desks.link import Link
 
 MAX_CONNECTIONS = 4  # a server reports the state of its group on at most four connections
+MAX_ATTEMPTS = 2  # at once: one for the set-ups that wait, and one that is late
 RETRY_MIN, RETRY_MAX = 0.1, 1.0  # seconds between connect attempts
+RETRY_MAX_WITH_CALLS = 0.5  # the same while calls are established, so that a server that returns keeps them
 SETUP_SILENCE = (
     0.25  # seconds without a byte, with a set-up unanswered, before a second connection is opened as a test
 )
 CALL_SILENCE = 2.0  # the same with established calls only, on which no messages are normal
-UNREACHABLE_AFTER = 6.0  # seconds without contact to a server before its established calls count as cut
+RECHECK = 0.05  # seconds until an overdue server is looked at again
 TRANSIENT_REASONS = (CloseReason.PEER_RESET, CloseReason.PEER_CLOSED)  # retried once before the server is suspected
 
 
@@ -30,7 +33,11 @@
 
     def __init__(self, link: Link) -> None:
         self.link = link
-        self.unreachable_since: float | None = None  # loop time since when no connection could be opened
+        self.loop = asyncio.get_running_loop()
+        self.liveness = Liveness(self.loop.time())
+        self.attempts: list[ConnectionAttempt] = []
+        self.pinged_at = 0.0  # loop time
+        self.cut_timer: asyncio.Handle | None = None
 
     async def run(self) -> None:
         """Maintain a connection until the server is removed; an exception is logged and must not end this."""
@@ -45,15 +52,19 @@
         """Keep a connection to the server open, and test it with another one when it falls silent."""
         pause, was_reset = RETRY_MIN, False
         while not self.link.removed:
-            if self.link.connections and not self._is_silent():
-                self.link.unreachable = False
+            self.attempts = [attempt for attempt in self.attempts if not attempt.task.done()]
+            if self.is_served():
+                self.believe(Belief.REACHABLE, "heard")
                 self.link.close_idle(CloseReason.IDLE)
+                pause = RETRY_MIN
                 await self._wait_for_wakeup(SETUP_SILENCE / 2)
                 continue
-            if len(self.link.connections) >= MAX_CONNECTIONS and not self._close_unused():
-                await asyncio.sleep(RETRY_MAX)
+            full = len(self.link.connections) >= MAX_CONNECTIONS and not self._close_unused()
+            if full or len(self.attempts) >= MAX_ATTEMPTS:
+                await self._wait_for_wakeup(SETUP_SILENCE / 2)
                 continue
-            reason = await self._open_connection()
+            self.attempts.append(attempt := ConnectionAttempt(self))
+            reason = await attempt.result(self.link.context.connect_timeout)
             if self.link.removed:
                 return
             if reason is None:
@@ -61,9 +72,9 @@
             elif reason in TRANSIENT_REASONS and not was_reset:
                 was_reset = True
             else:
-                self._connect_failed(reason, asyncio.get_running_loop().time())
+                self._connect_failed(reason, self.loop.time())
                 await self._wait_for_wakeup(pause)
-                pause = min(2 * pause, RETRY_MAX)
+                pause = min(2 * pause, RETRY_MAX_WITH_CALLS if self.link.has_established() else RETRY_MAX)
 
     async def _wait_for_wakeup(self, seconds: float) -> None:
         """Wait until the connections have to be checked, at most this many seconds."""
@@ -72,6 +83,10 @@
             async with asyncio.timeout(seconds):
                 await self.link.wakeup.wait()
 
+    def is_served(self) -> bool:
+        """Whether there is a connection that has not fallen silent."""
+        return bool(self.link.connections) and not self._is_silent()
+
     def _close_unused(self) -> bool:
         """Close one connection without set-ups; False if all have some, which will time out and free a connection."""
         unused = (one for one in self.link.connections if not self.link.legs.unanswered(one))
@@ -81,45 +96,13 @@
         connection.close(CloseReason.SILENT)
         return True
 
-    async def _open_connection(self) -> CloseReason | None:
-        """Open a connection and return None, or the reason why it is unusable.
-
-        It carries set-ups only once the server has reported its state on it: a process that hangs still accepts
-        connections but sends nothing on them.
-        """
-        try:
-            connection = await connect(self.link.desk.address, "desk", self.link.context.connect_timeout)
-        except ConnectError as error:
-            return error.reason
-        if self.link.removed:
-            connection.close(CloseReason.REPLACED)
-            return CloseReason.REPLACED
-        reading = self.link.context.spawn(ServerReader(self.link, connection).run())
-        if not self.link.reports_state:
-            self.link.opened(connection)
-            return None
-        state = self.link.context.spawn(self._wait_for_state(connection))
-        first = asyncio.FIRST_COMPLETED
-        await asyncio.wait((reading, state), timeout=self.link.context.connect_timeout, return_when=first)
-        state.cancel()
-        if connection in self.link.connections:
-            return None
-        connection.close(CloseReason.SILENT)
-        return connection.reason
-
-    async def _wait_for_state(self, connection: Connection) -> None:
-        """Wait until the server has reported its state on a new connection."""
-        while connection not in self.link.connections:
-            self.link.state_event.clear()
-            await self.link.state_event.wait()
-
     def _is_silent(self) -> bool:
         """Whether nothing arrived on the newest connection for too long, with set-ups or established calls there.
 
         A connection that has fallen silent reports neither the end of its process nor releases, and a draining
         server gets no set-ups whose timeouts would reveal it.
         """
-        now = asyncio.get_running_loop().time()
+        now = self.loop.time()
         newest = self.link.connections[-1]
         silent = now - newest.last_read
         if silent <= SETUP_SILENCE:
@@ -127,34 +110,76 @@
         overdue = any(now - leg.sent_at > SETUP_SILENCE for leg in self.link.legs.unanswered(newest))
         return overdue or (silent > CALL_SILENCE and self.link.has_established())
 
+    # -- what is believed of the server ----------------------------------------------------------
+
+    def believe(self, belief: Belief, why: str, calls_cut: int = 0) -> None:
+        """Take a belief about the server; each change leaves one log line."""
+        if belief == self.liveness.belief:
+            return
+        self.liveness.belief = belief
+        log.event(
+            "server_state",
+            desk=self.link.desk.ident,
+            state=belief.value,
+            why=why,
+            silent_s=round(self.loop.time() - self.liveness.last_sign, 3),
+            calls_cut=calls_cut,
+        )
+
     def _connect_failed(self, reason: CloseReason, now: float) -> None:
-        """Handle a connect attempt that failed, or a new connection on which no state arrived.
+        """Handle a connect attempt that failed or is late, or a new connection on which no state arrived.
 
         Waiting set-ups fail, because they never ran. A refused connection shows that the process has ended, unless
         another connection is open: a draining server refuses new connections and keeps its calls, and a process that
-        ends resets the open ones. A process that only hangs keeps its calls, so a silent new connection cuts nothing.
-
-        If nothing has arrived on the open connection for long either, its process has ended unnoticed; callers have
-        to be told of a cut call within 8 s. Until then it stays open, even if a new connection times out, which may
-        happen once at a server that refuses all others: the releases of its calls arrive on the open one.
+        ends resets the open ones. Anything else cuts nothing before the deadline that `watch_calls` has set: the
+        releases of its calls arrive on the open connection, which therefore stays open.
         """
-        self.link.unreachable = True
-        last_read = max((one.last_read for one in self.link.connections), default=now)
-        refused = reason == CloseReason.REFUSED
-        recent = bool(self.link.connections) and now - last_read < UNREACHABLE_AFTER
-        if reason == CloseReason.SILENT or (refused and recent):
-            self.unreachable_since = None
-        elif self.unreachable_since is None:
-            # After a long silence the server was lost at some time during it.
-            self.unreachable_since = last_read + 0.5 if now - last_read > CALL_SILENCE else now
+        self.believe(Belief.SUSPECT, reason.value)
         for connection in self.link.connections[:]:
             if now - connection.last_read <= SETUP_SILENCE or connection.has_unread_data():
                 continue
             # Also silent: the host is down, cut off or hangs. Close it rather than wait for its set-ups to time out.
-            if not recent or self.link.legs.unanswered(connection):
+            if self.link.legs.unanswered(connection):
                 connection.close(CloseReason.SILENT)
         self.link.fail_waiting()
-        if (refused and not self.link.connections) or (
-            self.unreachable_since is not None and now - self.unreachable_since > UNREACHABLE_AFTER
-        ):
-            self.link.cut_established()
+        if reason == CloseReason.REFUSED and not self.link.connections:
+            self._give_up("refused")
+        else:
+            self._ping(now)
+
+    def _ping(self, now: float) -> None:
+        """Ask on the open connection whether the server lives: one that drains refuses all others and says little."""
+        connection = self.link.usable_connection()
+        if connection and self.link.has_established() and now - self.pinged_at > CALL_SILENCE:
+            self.pinged_at = now
+            connection.send(ping().encode())
+
+    def _give_up(self, why: str) -> None:
+        """The server has ended: cut its calls, and close what is open to it."""
+        self.believe(Belief.GONE, why, len(self.link.legs.established(self.link.desk.ident)))
+        self.link.cut_established(why)
+        for connection in self.link.connections[:]:
+            if not connection.has_unread_data():
+                connection.close(CloseReason.SILENT)
+
+    # -- the deadline for the release of calls ---------------------------------------------------
+
+    def watch_calls(self) -> None:
+        """Set the deadline after which the established calls of a server that has vanished are cut."""
+        if self.cut_timer is None:
+            self.cut_timer = self.loop.call_at(self.liveness.cut_due, self._cut_due, GRACE_TURNS)
+
+    def _cut_due(self, turns: int) -> None:
+        """Cut the calls, unless there was a sign of life; bytes that have arrived reach their readers first."""
+        now = self.loop.time()
+        self.cut_timer = None
+        if self.link.removed or not self.link.has_established():
+            return
+        if now < self.liveness.cut_due:
+            self.watch_calls()
+        elif turns:
+            self.cut_timer = self.loop.call_soon(self._cut_due, turns - 1)
+        elif not self.liveness.has_vanished(now) or any(one.has_unread_data() for one in self.link.connections):
+            self.cut_timer = self.loop.call_later(RECHECK, self._cut_due, GRACE_TURNS)
+        else:
+            self._give_up("vanished")
--- a/seamlb/desks/link.py
+++ b/seamlb/desks/link.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from seamlb.desks.connection_manager import CALL_SILENCE, ConnectionManager
 from seamlb.desks.legs import Leg, LegTable
+from seamlb.desks.liveness import Belief
 from seamlb.desks.requests import bye, invite
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connection import Connection
@@ -34,6 +36,7 @@
         self.on_salvaged = on_salvaged
         self.legs = LegTable()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.calls_cut: Counter[str] = Counter()  # established calls that were cut, by reason
         self.closing = False
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -51,15 +54,19 @@
         self.desk, self.context, self.legs = desk, context, context.legs
         self.connections: list[Connection] = []  # new messages go to the last one
         self.wakeup = asyncio.Event()  # the connections have to be checked
-        self.state_event = asyncio.Event()  # the state was reported on a new connection
+        self.unreported: dict[Connection, asyncio.Future[None]] = {}  # connections that wait for the first state
         self.waiting: list[Leg] = []  # set-ups without a connection
         self.releases: list[bytes] = []  # sent on the next connection
-        self.unreachable = False  # the last connect attempt failed: set-ups do not wait for the next one
         self.reports_state = False  # the server has reported its state, and must do so on each new connection
         self.removed = False
         self.manager = ConnectionManager(self)
         context.spawn(self.manager.run())
 
+    @property
+    def unreachable(self) -> bool:
+        """Whether the last connect attempt failed: set-ups do not wait for the next one."""
+        return self.manager.liveness.belief != Belief.REACHABLE
+
     # -- called by the desk client ------------------------------------------------------------
 
     def usable_connection(self) -> Connection | None:
@@ -95,13 +102,14 @@
             if not self.legs.unanswered(connection) and connection.is_idle(0.0):
                 connection.close(reason)
 
-    def drop(self) -> None:
+    def drop(self, why: str) -> None:
         """Cut all calls: the server was removed from the list, or another host has its name now."""
         self.removed = True
         self.wakeup.set()
         self.fail_waiting()
         for leg in self.legs.at_server(self.desk.ident):
             if leg.established:
+                self.context.calls_cut[why] += 1
                 self.release(leg.attempt, CAUSE_CUT)  # the server may be alive and hold a line for the call
             self.legs.end(leg, Outcome(Status.RESET, cause=CAUSE_CUT))
         for connection in self.connections[:]:
@@ -113,23 +121,33 @@
         for leg in waiting:
             self.legs.end(leg, Outcome(Status.CONNECT_FAILED))
 
-    def cut_established(self) -> None:
+    def cut_established(self, why: str) -> None:
         """End the established calls, because the server's process has ended."""
         for leg in self.legs.established(self.desk.ident):
+            self.context.calls_cut[why] += 1
             self.legs.end(leg, Outcome(Status.RESET, cause=CAUSE_CUT))
 
+    def expect_state(self, connection: Connection) -> asyncio.Future[None]:
+        """Return what is done once the server has reported its state on a new connection."""
+        return self.unreported.setdefault(connection, asyncio.get_running_loop().create_future())
+
     def state_reported(self, connection: Connection) -> None:
         """Record that the server has reported its state on a connection."""
         self.reports_state = True
         if connection not in self.connections and not self.removed:
             self.opened(connection)
-            self.state_event.set()
+            if reported := self.unreported.pop(connection, None):
+                reported.set_result(None)
         elif len(self.connections) > 1:
             loop = asyncio.get_running_loop()
             loop.call_later(STATE_SPREAD, self._close_stalled, loop.time())
 
     # -- called by the reader (ReaderOwner) ---------------------------------------------------
 
+    def heard(self) -> None:
+        """Record that bytes have arrived, on whatever connection."""
+        self.manager.liveness.sign_of_life(asyncio.get_running_loop().time())
+
     def received(self, connection: Connection, message: Message) -> None:
         """Handle a complete message."""
         self.context.on_message(self, connection, message)
@@ -144,6 +162,7 @@
 
     def lost(self, connection: Connection) -> None:
         """Remove a connection and end its unanswered set-ups."""
+        self.unreported.pop(connection, None)
         if connection in self.connections:
             self.connections.remove(connection)
         if not self.context.closing:
@@ -156,7 +175,7 @@
     def opened(self, connection: Connection) -> None:
         """Use a connection for new messages, and send first what waited for one."""
         self.connections.append(connection)
-        self.manager.unreachable_since, self.unreachable = None, False
+        self.manager.believe(Belief.REACHABLE, "connected")
         self.close_idle(CloseReason.SILENT)
         for data in self.releases:
             connection.send(data)
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -44,14 +44,14 @@
         link = self.links.get(desk.ident)
         if link is not None and (link.desk.address != desk.address or desk.availability == Availability.GONE):
             del self.links[desk.ident]
-            link.drop()
+            link.drop("removed" if desk.availability == Availability.GONE else "moved")
             link = None
         if desk.availability == Availability.GONE:
             return
         if link is None:
             link = self.links[desk.ident] = Link(desk, self.context)
         elif desk.since_ms != link.desk.since_ms:
-            link.cut_established()  # the server's process was restarted, which cut its calls
+            link.cut_established("restarted")  # the server's process was restarted, which cut its calls
         link.desk = desk
         if desk.availability != Availability.READY:
             link.fail_waiting()  # a connection that opens late must not carry set-ups to a draining server
@@ -158,6 +158,8 @@
             connection.send(call_request("BYE", ident, "call", reason_header(CAUSE_NORMAL)).encode())
         elif not leg.established:
             leg.established = True
+            if link := self.links.get(leg.attempt.desk):
+                link.manager.watch_calls()
             leg.notify(leg.attempt.leg, Answer(message.body))
 
     def _released(self, key: Key, message: Message, confirm: Callable[[], object]) -> None:
--- a/seamlb/desks/reader.py
+++ b/seamlb/desks/reader.py
@@ -17,6 +17,9 @@
 class ReaderOwner(Protocol):
     """Receives the messages and events of a reader."""
 
+    def heard(self) -> None:
+        """Handle the arrival of bytes: a sign of life."""
+
     def received(self, connection: Connection, message: Message) -> None:
         """Handle a complete message."""
 
@@ -49,6 +52,7 @@
             self.owner.lost(self.connection)
 
     def _received(self, data: bytes) -> None:
+        self.owner.heard()
         messages = self.framer.feed_and_dispatch(data, self._message, self._malformed)
         self.connection.messages_read(messages, bool(self.framer.data))
 
@@ -76,6 +80,7 @@
 
     def _salvage(self, data: bytes) -> None:
         """Find releases of established calls in unframed data: the server sends each release only once."""
+        self.owner.heard()
         self.residual.extend(data)
         for message in find_byes(bytes(self.residual)):
             self.owner.salvaged(message)
--- a/seamlb/desks/requests.py
+++ b/seamlb/desks/requests.py
@@ -30,6 +30,12 @@
     return request("INVITE", attempt, *headers, body=attempt.request.description)
 
 
+def ping() -> Message:
+    """Build a test, which a live process answers at once."""
+    headers = [("Via", "SIP/2.0/TCP seamlb;branch=z9hG4bK-ping"), ("Call-ID", "ping"), ("CSeq", "1 OPTIONS")]
+    return Message("OPTIONS", "sip:ping@net", headers=headers)
+
+
 def bye(attempt: Attempt, cause: int) -> Message:
     """Build the release of an attempt's call."""
     return request("BYE", attempt, reason_header(cause))
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,7 +13,7 @@
 from seamlb import api
 from seamlb.config import Config, Overrides, read
 from seamlb.daemon import Daemon
-from seamlb.protocol.sip import Framer, Message
+from seamlb.protocol.sip import Framer, Message, response
 from seamlb.routing.model import Desk
 from tests.support import RAW
 
@@ -78,6 +78,7 @@
 
     def __init__(self, script: Script | None = None, report: str = "idle:5;circuits:5") -> None:
         self.script, self.report = script or answer, report
+        self.answers_tests = False  # answers OPTIONS
         self.hangs = False  # accepts connections and sends nothing on them
         self.farewell = b""  # sent once the peer has ended the connection
         self.peers: list[Peer] = []
@@ -101,6 +102,8 @@
                 self.received.put_nowait(message)
                 if message.method == "INVITE":
                     await self.script(peer, message)
+                elif message.method == "OPTIONS" and self.answers_tests:
+                    peer.send(response(message, 200))
         except (EOFError, OSError, asyncio.CancelledError):
             writer.write(self.farewell)
             writer.close()
--- a/tests/test_desk_silence.py
+++ b/tests/test_desk_silence.py
@@ -5,7 +5,9 @@
 
 from seamlb import api
 from seamlb.daemon import Daemon
-from seamlb.desks.connection_manager import CALL_SILENCE, RETRY_MAX, SETUP_SILENCE, UNREACHABLE_AFTER
+from seamlb.desks.connection_manager import CALL_SILENCE, SETUP_SILENCE
+from seamlb.desks.liveness import CUT_AFTER, RELEASE_WITHIN
+from seamlb.fronts.releases import PREFERENCE_WAIT
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connecting import ConnectError
 from seamlb.net.connection import Connection
@@ -43,8 +45,9 @@
         last_message = asyncio.get_running_loop().time()
         self.assertIn("cause=41", (await caller.until("BYE")).get("reason"))
         # The calls were kept for that long.
-        self.assertGreater(asyncio.get_running_loop().time() - last_message, UNREACHABLE_AFTER - 0.1)
-        self.assertLess(UNREACHABLE_AFTER + RETRY_MAX + daemon.config.connect_timeout, 8.0)
+        self.assertGreater(asyncio.get_running_loop().time() - last_message, CUT_AFTER - 0.1)
+        self.assertLess(asyncio.get_running_loop().time() - last_message, RELEASE_WITHIN)
+        self.assertLess(CUT_AFTER + PREFERENCE_WAIT, RELEASE_WITHIN)
 
     async def test_a_draining_desk_refuses_connections_and_keeps_its_calls(self) -> None:
         desk, _, caller = await self.established_call()
@@ -90,7 +93,7 @@
                 ) -> Connection:
                     raise ConnectError(left.pop(0) if len(left) > 1 else left[0])
 
-                with mock.patch("seamlb.desks.connection_manager.connect", connect):
+                with mock.patch("seamlb.desks.connection_attempt.connect", connect):
                     await self.eventually(lambda left=left: len(left) == 1)
                     await asyncio.sleep(0.1)
                     self.assertTrue(daemon.agent.sessions)
@@ -104,7 +107,7 @@
             raise ConnectError(CloseReason.CONNECT_TIMEOUT)
 
         link = daemon.desks.links["d0"]
-        with mock.patch("seamlb.desks.connection_manager.connect", connect):
+        with mock.patch("seamlb.desks.connection_attempt.connect", connect):
             await self.eventually(lambda: link.unreachable)
             self.assertGreater(asyncio.get_running_loop().time() - link.connections[-1].last_read, CALL_SILENCE)
             caller.send(invite("00000000000000a2"))
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from seamlb import api
-from seamlb.desks.connection_manager import UNREACHABLE_AFTER
 from seamlb.desks.link import Link
+from seamlb.desks.liveness import CUT_AFTER
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connecting import connect
 from seamlb.protocol.sip import Message
@@ -185,9 +185,18 @@
     async def test_a_release_that_arrived_while_this_process_was_paused_is_read_first(self) -> None:
         later = asyncio.get_running_loop().time() + 1.0
         await self.release_while_replaced(
-            False, lambda link: link.manager._connect_failed(CloseReason.SILENT, later + UNREACHABLE_AFTER)
+            False, lambda link: link.manager._connect_failed(CloseReason.SILENT, later + CUT_AFTER)
         )
 
+    async def test_a_release_that_is_unread_at_the_deadline_of_a_vanished_server_is_read_first(self) -> None:
+        def overdue(link: Link) -> None:
+            link.manager.liveness.last_sign -= 2 * CUT_AFTER
+            link.manager.liveness.last_accept -= 2 * CUT_AFTER
+            link.manager.liveness.last_failure = link.manager.liveness.last_sign + 1.0
+            link.manager._cut_due(0)
+
+        await self.release_while_replaced(False, overdue)
+
     async def test_no_set_up_is_written_to_a_connection_that_the_desk_has_closed(self) -> None:
         # A set-up written there might have been read, so a call that must not be retried failed needlessly.
         desk = ScriptedDesk()
