Hear a slow discovery: a poll that is overdue stays while others are sent beside it

Cause: a poll was given up 3.5 s after it was sent, whatever discovery did, and its answer was thrown away; and the address of a poll lived in a task that had to be cancelled for another one to be asked.

Fix: polls.py keeps up to three polls under way, each on a connection of its own. One that is overdue is logged (poll_failed: address, rev, why, seconds since the last answer) and stays for 30 s; another one is sent 3.5 s after it, 1 s after it if no connection came up, and 1.5 s after it in trouble, when polls ask for an answer at once. Answers count by the event that was known as they were asked for, so an older answer is no restart of the board. run() reads the address for each poll; a change is logged (discovery_address) and needs no cancellation.

--- a/seamlb/discovery/board.py
+++ b/seamlb/discovery/board.py
@@ -1,4 +1,4 @@
-"""Client of the notice board: polls it continuously and passes changes of the desk list to the core."""
+"""Client of the notice board: polls it without a pause and passes changes of the desk list to the core."""
 
 from __future__ import annotations
 
@@ -11,21 +11,17 @@
 
 from seamlb import log
 from seamlb.discovery.poller import Poller, PollError
+from seamlb.discovery.polls import PATIENCE, Poll, Polls
 from seamlb.net.close_reason import CloseReason
 from seamlb.protocol.notices import Notice, NoticeError, parse_notices
 from seamlb.routing.model import Availability, Desk, DeskListCallback, Scope
 
-POLL_WAIT = 2.0  # seconds the board may hold a poll until there is an event
-SILENCE_MARGIN = 1.5  # seconds after that until a poll times out; a drain must be known within 7 s
-# Seconds between retries; with the connect time they stay below 2 s, after which events missed in an outage count as
-# known.
-RETRY_MIN, RETRY_MAX = 0.1, 0.5
 MAX_LAG = 7.0  # seconds the board may be late; its events count as known after that
 PHASES = {"Ready": Availability.READY, "Terminating": Availability.DRAINING, "Gone": Availability.GONE}
 
 
 class Board:
-    """Follows the list of desks with long polls on one connection."""
+    """Follows the list of desks with long polls; the address is read anew for each of them."""
 
     def __init__(
         self, address: str, zones: Sequence[str], on_change: DeskListCallback, skip_first_wait: bool = False
@@ -40,18 +36,24 @@
         self.ignore_older_until = math.inf  # loop time; set when event numbers went back
         self.skipped = False  # an older list was ignored since then
         self.published = False
-        self.address_changed = asyncio.Event()
+        self.polls = Polls()
+        self.numbering = 0  # counts how often the event numbers have begun anew
+        self.answered_at: float | None = None  # loop time of the last answer
+        self.address_changed: asyncio.Future[None] | None = None  # what `run` waits for
 
-    def apply(self, raw: Mapping[str, Any]) -> None:
+    def apply(self, raw: Mapping[str, Any], watch: int | None = None) -> None:
         """Apply events from the configuration or the board; known events are skipped.
 
+        `watch`: the latest event that was known as they were asked for, if others may have come since.
+
         A board whose event numbers went back was restarted and would never send the events that the poll waits for,
         so all events are requested again. For MAX_LAG seconds the board may just be late: until then a list older
         than the current one is ignored, as it could bring removed servers back.
         """
         last, notices = parse_notices(raw)
-        if last < self.rev:
+        if last < (self.rev if watch is None else watch):
             log.event("board_restarted", rev=self.rev, told=last)
+            self.numbering += 1
             self.rev, self.ignore_older_until = 0, asyncio.get_running_loop().time() + MAX_LAG
             return
         for notice in notices:
@@ -93,49 +95,97 @@
         log.event("list", rev=notice.event_number, complete=notice.complete, desks=len(desks))
 
     def set_address(self, address: str) -> None:
-        """Switch to another address of the board; the event numbers continue."""
+        """Switch to another address of the board, at once; the event numbers continue."""
         if address != self.address:
+            log.event("discovery_address", old=self.address, new=address, rev=self.rev)
             self.address = address
-            self.address_changed.set()
+            if self.address_changed and not self.address_changed.done():
+                self.address_changed.set_result(None)
+
+    def stats(self) -> dict[str, Any]:
+        """The age of the list for operators: seconds since the board's last answer, None before the first."""
+        now = asyncio.get_running_loop().time()
+        return {"list_age_s": None if self.answered_at is None else round(now - self.answered_at, 3)}
 
     async def run(self) -> None:
-        """Follow the board until cancelled; a new address interrupts the current poll, pause or connect."""
-        while True:
-            self.address_changed.clear()
-            address_changed = asyncio.ensure_future(self.address_changed.wait())
-            polling = asyncio.ensure_future(self._poll(self.address)) if self.address else address_changed
-            try:
-                await asyncio.wait((polling, address_changed), return_when=asyncio.FIRST_COMPLETED)
-                if polling.done():
-                    polling.result()  # it ends only by an exception, which the daemon logs
-            finally:
-                address_changed.cancel()
-                polling.cancel()
-                await asyncio.gather(polling, address_changed, return_exceptions=True)
-
-    async def _poll(self, address: str) -> None:
-        """Poll until cancelled; a connection that ends or falls silent is replaced."""
-        poller = Poller(address, "board")
-        pause = 0.0
+        """Follow the board until cancelled."""
+        loop = asyncio.get_running_loop()
         try:
             while True:
-                await asyncio.sleep(pause)
-                pause = min(max(2 * pause, RETRY_MIN), RETRY_MAX)
-                self._accept_older_lists()
-                wait_ms = 0 if self.skip_first_wait and not self.caught_up.is_set() else int(POLL_WAIT * 1000)
-                path = f"/board/poll?watch={self.rev}&linger={wait_ms}"
-                try:
-                    answer = await poller.get(path, POLL_WAIT + SILENCE_MARGIN)
-                    if answer.status != 200:
-                        raise NoticeError(f"status {answer.status}")
-                    self.apply(orjson.loads(answer.body))
-                    self.caught_up.set()
-                except PollError:
-                    continue
-                except (NoticeError, orjson.JSONDecodeError) as error:
-                    log.event("malformed", kind="board", error=str(error))
-                    poller.close(CloseReason.MALFORMED)
-                    continue
-                pause = 0.0
+                self.address_changed = loop.create_future()
+                self._leave_old_address()
+                if self.address and loop.time() >= self.polls.next_due:
+                    self._send_poll(loop.time())
+                waits: set[asyncio.Future[Any]] = {
+                    self.address_changed,
+                    *(poll.task for poll in self.polls.under_way),
+                }
+                timeout = max(0.0, self.polls.next_due - loop.time()) if self.address else None
+                await asyncio.wait(waits, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+                self._process_polls(loop.time())
         finally:
-            poller.close(CloseReason.SHUTDOWN if address == self.address else CloseReason.REPLACED)
+            tasks = [poll.task for poll in self.polls.under_way]
+            self.polls.close(CloseReason.SHUTDOWN)
+            for task in tasks:
+                task.cancel()
+
+    def _leave_old_address(self) -> None:
+        """Close the polls if the address has changed since they were sent."""
+        if any(poll.poller.address != self.address for poll in self.polls.under_way):
+            self.polls.close(CloseReason.REPLACED)
+
+    def _send_poll(self, now: float, poller: Poller | None = None) -> None:
+        """Send a poll, on the connection of one that was answered or on another one."""
+        self._accept_older_lists()
+        wait = 0.0 if self.skip_first_wait and not self.caught_up.is_set() else self.polls.wait
+        path = f"/board/poll?watch={self.rev}&linger={int(wait * 1000)}"
+        poller = poller or Poller(self.address, "board")
+        task = asyncio.get_running_loop().create_task(poller.get(path, PATIENCE))
+        task.add_done_callback(lambda task: task.cancelled() or task.exception())  # retrieved if nobody waits
+        self.polls.add(Poll(poller, self.rev, wait, self.numbering, now, task))
+
+    def _process_polls(self, now: float) -> None:
+        """Apply the answers, and log the polls that failed or have become overdue."""
+        for poll in self.polls.take_overdue(now):
+            self._log_failure(poll, "silent" if poll.poller.connected else "connecting")
+        for poll in self.polls.take_answered():
+            if poll.poller.address != self.address:
+                poll.poller.close(CloseReason.REPLACED)
+            elif error := self._apply_answer(poll):
+                poll.poller.close(CloseReason.MALFORMED)
+                self._log_failure(poll, error)
+                self.polls.failed(now)
+            else:
+                self._continue(poll, now)
+
+    def _apply_answer(self, poll: Poll) -> str:
+        """Apply the answer to a poll; returns why there is none, or ""."""
+        try:
+            response = poll.task.result()
+            if response.status != 200:
+                raise NoticeError(f"status {response.status}")
+            raw = orjson.loads(response.body)
+            if poll.numbering == self.numbering:  # else the numbers of its events are those before a restart
+                self.apply(raw, poll.watch)
+        except PollError as error:
+            return str(error)
+        except (NoticeError, orjson.JSONDecodeError) as error:
+            log.event("malformed", kind="board", error=str(error))
+            return "malformed"
+        self.answered_at = asyncio.get_running_loop().time()
+        self.caught_up.set()
+        self.polls.answered()
+        return ""
+
+    def _continue(self, poll: Poll, now: float) -> None:
+        """Send the next poll on the connection of an answered one, unless a later one is still under way."""
+        if now >= self.polls.next_due and poll.poller.connected:
+            self._send_poll(now, poll.poller)
+        elif self.polls.under_way:
+            poll.poller.close(CloseReason.IDLE)
+
+    def _log_failure(self, poll: Poll, why: str) -> None:
+        """One line for a poll that failed; `unheard_s`: seconds since the last answer, if there was one."""
+        now = asyncio.get_running_loop().time()
+        unheard = None if self.answered_at is None else round(now - self.answered_at, 3)
+        log.event("poll_failed", address=poll.poller.address, rev=poll.watch, why=why, unheard_s=unheard)
