Read what has arrived before a server counts as silent, and log what a late attempt raises

It now asks the socket first. The tests that force connect() patch it where it is used now, and an exception in an attempt reaches the manager's log again.

--- a/seamlb/desks/connection_attempt.py
+++ b/seamlb/desks/connection_attempt.py
@@ -39,6 +39,7 @@
         if not self.task.done() and self.came_up.done():
             await asyncio.wait({self.task}, timeout=connect_timeout)
         if self.task.done():
+            self.task.result()  # raises what it raised
             return self.reason
         self.late = True
         return CloseReason.SILENT if self.came_up.done() else CloseReason.CONNECT_TIMEOUT
--- a/seamlb/desks/connection_manager.py
+++ b/seamlb/desks/connection_manager.py
@@ -52,7 +52,7 @@
         """Keep a connection to the server open, and test it with another one when it falls silent."""
         pause, was_reset = RETRY_MIN, False
         while not self.link.removed:
-            self.attempts = [attempt for attempt in self.attempts if not attempt.task.done()]
+            self._remove_ended_attempts()
             if self.is_served():
                 self.believe(Belief.REACHABLE, "heard")
                 self.link.close_idle(CloseReason.IDLE)
@@ -76,6 +76,14 @@
                 await self._wait_for_wakeup(pause)
                 pause = min(2 * pause, RETRY_MAX_WITH_CALLS if self.link.has_established() else RETRY_MAX)
 
+    def _remove_ended_attempts(self) -> None:
+        """Forget the attempts that have ended; raises what one of them raised after its connect time."""
+        ended = [attempt for attempt in self.attempts if attempt.task.done()]
+        self.attempts = [attempt for attempt in self.attempts if not attempt.task.done()]
+        for attempt in ended:
+            if attempt.late:
+                attempt.task.result()
+
     async def _wait_for_wakeup(self, seconds: float) -> None:
         """Wait until the connections have to be checked, at most this many seconds."""
         self.link.wakeup.clear()
@@ -108,7 +116,8 @@
         if silent <= SETUP_SILENCE:
             return False
         overdue = any(now - leg.sent_at > SETUP_SILENCE for leg in self.link.legs.unanswered(newest))
-        return overdue or (silent > CALL_SILENCE and self.link.has_established())
+        silent_with_calls = silent > CALL_SILENCE and self.link.has_established()
+        return (overdue or silent_with_calls) and not newest.has_unread_data()
 
     # -- what is believed of the server ----------------------------------------------------------
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from seamlb import api
-from seamlb.desks import connection_manager
+from seamlb.desks import connection_attempt, connection_manager
 from seamlb.net.connecting import connect
 from seamlb.net.connection import Connection
 from seamlb.protocol.sip import MAX_MESSAGE_BYTES, Message
@@ -96,7 +96,7 @@
             await may_connect.wait()
             return await connect(*args)
 
-        self.enterContext(mock.patch.object(connection_manager, "connect", delayed))
+        self.enterContext(mock.patch.object(connection_attempt, "connect", delayed))
         daemon = await self.start()
         daemon.agent.list_changed(api.Scope.CACHED, [self.desk(0, await desk.start())])
         self.addAsyncCleanup(desk.stop)
@@ -163,7 +163,7 @@
             return await real(*args)
 
         with (
-            mock.patch.object(connection_manager, "connect", faulty),
+            mock.patch.object(connection_attempt, "connect", faulty),
             mock.patch.object(connection_manager, "RETRY_MAX", 0.01),
         ):
             await self.start(desk)
