--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -46,8 +46,8 @@
             del self.links[desk.ident]
             link.drop("removed" if desk.availability == Availability.GONE else "moved")
             link = None
-        if desk.availability == Availability.GONE:
-            return
+        if desk.availability == Availability.GONE or (link is None and self.context.closing):
+            return  # a server that is connected to as the process ends would send releases that no caller gets
         if link is None:
             link = self.links[desk.ident] = Link(desk, self.context)
         elif desk.since_ms != link.desk.since_ms:
