Refuse a set-up at once after the drain has closed the connections to servers

Callers saw: no answer to a set-up on an open connection until its time was over. Cause: the tasks that open connections are cancelled then, and a set-up without a connection waited for one. Fix: it ends as one that could not be sent, and is refused. Test (tests/test_drain_end.py, the second): timed out after 0.5 s before; passes.

--- a/seamlb/desks/link.py
+++ b/seamlb/desks/link.py
@@ -79,7 +79,7 @@
         usable = self.usable_connection()
         if usable and not (self.unreachable and leg.sent_at - usable.last_read > CALL_SILENCE):
             self._invite(leg, usable)
-        elif self.unreachable:
+        elif self.unreachable or self.context.closing:
             self.legs.end(leg, Outcome(Status.CONNECT_FAILED))
         else:
             self.waiting.append(leg)
