Fix the end of a drain at SIGTERM: new settings in the drain no longer move it

Callers would see: no answer, where a reload in the drain brings longer deadlines than those by which SIGKILL comes, or a failure before their time with shorter ones. The new test in test_lifecycle.py failed before (0.4 and 9 s for 1.5 s) and passes.

--- a/seamlb/lifecycle.py
+++ b/seamlb/lifecycle.py
@@ -35,6 +35,7 @@
 
     def __init__(self, max_patience: float, shared: bool = False) -> None:
         self.max_patience = max_patience  # seconds that a caller waits at most
+        self.drain_patience = max_patience  # that of the settings in force at SIGTERM, by which SIGKILL comes
         self.shared = shared
         self.phase = Phase.STARTING
         self.entered_at = 0.0
@@ -65,6 +66,7 @@
         """SIGTERM: the process drains and cannot return to service; a second one changes nothing."""
         if self.phase not in (Phase.DRAINING, Phase.ENDED):
             self._enter(Phase.DRAINING, now)
+            self.drain_patience = self.max_patience
 
     def ended(self, now: float) -> None:
         """The drain is complete."""
@@ -117,7 +119,7 @@
     def answer_deadline(self) -> float:
         """When open calls are failed: the process is killed soon after."""
         limit = MAX_UPGRADE_PATIENCE_S if self.shared else MAX_DRAIN_PATIENCE_S
-        return self.entered_at + LISTEN_S + max(0.0, min(self.max_patience, limit) - ANSWER_MARGIN_S)
+        return self.entered_at + LISTEN_S + max(0.0, min(self.drain_patience, limit) - ANSWER_MARGIN_S)
 
     def may_exit(self, now: float, unanswered: int, connections: int) -> bool:
         """Whether the process may exit: not while it has callers, as no other process can serve them."""
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -81,3 +81,13 @@
     process = serving()
     process.quiesce(2.0)
     assert process.keeps_established_calls
+
+
+# Incident 86c537, kin: new settings in the drain moved its end, beyond the SIGKILL or before callers' deadlines.
+def test_new_settings_in_the_drain_do_not_move_its_end() -> None:
+    for later in (0.4, 9.0):
+        process = serving(max_patience=1.5)
+        process.terminate(10.0)
+        end = process.answer_deadline()
+        process.max_patience = later
+        assert process.answer_deadline() == end
