Tell operators the age of the list, each server's last sign of life, and calls cut by reason

A dead process leaves one line (gone), not two. Three descriptors are kept for each server, as a late attempt and another one may be open beside the connection. The test of the figures wants the new ones too and the old ones as before.

--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -173,7 +173,9 @@
 
     def stats(self) -> dict[str, Any]:
         """The content of `/admin/stats`."""
-        return self.agent.stats() | {"cfg_accepted": self.cfg_accepted, "cfg_invalid": self.cfg_invalid}
+        stats = self.agent.stats() | {"cfg_accepted": self.cfg_accepted, "cfg_invalid": self.cfg_invalid}
+        stats |= self.board.stats() | (self.platform_desks.stats() if self.platform_desks else {})
+        return stats | {"longest_lateness_ms": round(self.front.longest_lateness() * 1000.0, 1)}
 
     async def _run_source(self, source: Discovery) -> None:
         """Follow a source of the list; after an error, which is logged, it restarts, so that no drain is missed."""
--- a/seamlb/desks/connection_manager.py
+++ b/seamlb/desks/connection_manager.py
@@ -143,18 +143,20 @@
         ends resets the open ones. Anything else cuts nothing before the deadline that `watch_calls` has set: the
         releases of its calls arrive on the open connection, which therefore stays open.
         """
-        self.believe(Belief.SUSPECT, reason.value)
+        ended = reason == CloseReason.REFUSED and not self.link.connections
+        if not ended and self.liveness.belief != Belief.GONE:
+            self.believe(Belief.SUSPECT, reason.value)
         for connection in self.link.connections[:]:
             if now - connection.last_read <= SETUP_SILENCE or connection.has_unread_data():
                 continue
             # Also silent: the host is down, cut off or hangs. Close it rather than wait for its set-ups to time out.
             if self.link.legs.unanswered(connection):
                 connection.close(CloseReason.SILENT)
-        self.link.fail_waiting()
-        if reason == CloseReason.REFUSED and not self.link.connections:
+        if ended:
             self._give_up("refused")
         else:
             self._ping(now)
+        self.link.fail_waiting()
 
     def _ping(self, now: float) -> None:
         """Ask on the open connection whether the server lives: one that drains refuses all others and says little."""
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from seamlb.desks.legs import Key, Leg
 from seamlb.desks.link import CAUSE_CUT, Link, LinkContext
@@ -91,6 +92,18 @@
         while not all(link.reports_state or link.unreachable for link in self.links.values()):
             await asyncio.sleep(0.02)
 
+    def stats(self) -> dict[str, Any]:
+        """What is believed of each server, the seconds since its last sign of life, and calls cut by reason."""
+        now = asyncio.get_running_loop().time()
+        servers = {
+            name: {
+                "state": link.manager.liveness.belief.value,
+                "last_sign_age_s": round(now - link.manager.liveness.last_sign, 3),
+            }
+            for name, link in self.links.items()
+        }
+        return {"servers": servers, "calls_cut": dict(self.context.calls_cut)}
+
     def has_unread_data(self) -> bool:
         """Whether data from a server is unread: it may contain a release, which is sent only once."""
         return any(connection.has_unread_data() for link in self.links.values() for connection in link.connections)
--- a/seamlb/net/descriptors.py
+++ b/seamlb/net/descriptors.py
@@ -7,8 +7,8 @@
 MAX_CALLER_SHARE = 0.6  # of all descriptors; the platform expects callers to need a third
 MIN_CALLER_SHARE = 1 / 3  # of all descriptors; callers may always hold this many
 MANAGEMENT_SHARE = 1 / 8  # of all descriptors
-RESERVED = 16  # standard streams, event loop, listeners, discovery and its replacement, one being accepted
-PER_SERVER = 2  # the connection to a server and the one that tests it
+RESERVED = 16  # standard streams, event loop, listeners, three polls of discovery, one being accepted
+PER_SERVER = 3  # the connection to a server and two attempts that test it
 
 
 def descriptor_limit(configured: int) -> int:
--- a/seamlb/net/event_loop_lag.py
+++ b/seamlb/net/event_loop_lag.py
@@ -11,11 +11,13 @@
     """A periodic timer on the event loop; data read while a tick is overdue has waited at most since it came due."""
 
     def __init__(self) -> None:
+        self.longest = 0.0  # seconds by which a tick was late at most, and so any timer of this loop
         self.loop = asyncio.get_running_loop()
         self.due = self.loop.time() + TICK
         self.timer = self.loop.call_at(self.due, self._tick)
 
     def _tick(self) -> None:
+        self.longest = max(self.longest, self.loop.time() - self.due)
         self.due = self.loop.time() + TICK
         self.timer = self.loop.call_at(self.due, self._tick)
 
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -171,9 +171,17 @@
     async def test_the_stats_match_what_callers_and_desks_saw(self) -> None:
         accepting, full = ScriptedDesk(), ScriptedDesk(refuse(503, ("X-Diagnosis", "atb")))
         daemon = await self.serve(accepting, full, settings={"Limits": RAW["Limits"] | {"MaxOpen": 2}})
+        stats = await self.stats()
+        self.assertEqual(
+            {name: one["state"] for name, one in stats.pop("servers").items()},
+            dict.fromkeys(("d0", "d1"), "reachable"),
+        )
+        self.assertGreaterEqual(stats.pop("longest_lateness_ms"), 0.0)
         self.assertEqual(
-            await self.stats(),
+            stats,
             {
+                "list_age_s": None,
+                "calls_cut": {},
                 "fulfilled": {"a": 0, "b": 0},
                 "throttled": {"a": 0, "b": 0},
                 "faulted": {"a": 0, "b": 0},
