Play dense faults in the soak: hosts that vanish, discovery that moves or fails, bad callers

tests/soak/dense.py draws, several in one run of 15 to 25 s: hosts that vanish (with or without a last accepted connection) or are cut off; servers that hang, crash, drain close to discovery's return, accept late, close early, reset under requests, answer twice or spoilt; discovery that refuses, is silent, swallows polls or is slow; new configurations in pairs 0 to 5 ms apart that move it; callers that write in pieces, stop half way, close at once or repeat at once; SIGTERMs one after another while a server hangs, with SIGKILL at the earliest time. The audit of servers' and callers' records judges, and a board that moved has to be asked.

Figures of the old draw are not touched; Verdict stands in a file of its own.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,7 +7,9 @@
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 
-from tests.soak.run import Verdict, play, summarize
+from tests.soak.dense_run import make_dense_run
+from tests.soak.run import make_run, play
+from tests.soak.verdict import Verdict, summarize
 
 
 def main() -> int:
@@ -16,11 +18,13 @@
     parser.add_argument("--seeds", type=int, default=50, help="number of seeds")
     parser.add_argument("--at-once", type=int, default=2, help="number of parallel runs")
     parser.add_argument("--keep", default="", help="a folder for the logs, which are deleted otherwise")
+    parser.add_argument("--dense", action="store_true", help="faults of the network, of discovery and of callers too")
     arguments = parser.parse_args()
     verdicts: list[Verdict] = []
     with ProcessPoolExecutor(arguments.at_once, max_tasks_per_child=1) as pool:
         for verdict in pool.map(
-            partial(play, keep=arguments.keep), range(arguments.first, arguments.first + arguments.seeds)
+            partial(play, keep=arguments.keep, make_run=make_dense_run if arguments.dense else make_run),
+            range(arguments.first, arguments.first + arguments.seeds),
         ):
             verdicts.append(verdict)
             print("\n".join(verdict.lines()), flush=True)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,4 +1,4 @@
-"""Stub callers: Poisson traffic on long-lived connections, and a crowd of callers that misbehave."""
+"""Stub callers: Poisson traffic on long-lived connections, and a crowd that misbehaves."""
 
 from __future__ import annotations
 
@@ -89,7 +89,7 @@
             idle.close()
 
     async def wait_for_crowd(self) -> None:
-        """Wait until the callers of the crowd have disconnected."""
+        """Wait until the crowd has disconnected."""
         await asyncio.gather(*self.tasks)
 
     # -- connections ----------------------------------------------------------------------------
@@ -128,27 +128,45 @@
 
     # -- calls ----------------------------------------------------------------------------------
 
-    def _set_up(self, agent: AgentProcesses, connection: SipConnection, resent: bool = False) -> str:
-        """Send a set-up; returns its id."""
+    def compose(self, agent: AgentProcesses) -> tuple[str, Message, str, float]:
+        """Draw a set-up: its id, message, class, and how long its caller waits in seconds."""
         call_class, deadline_s = (
             ("soon", self.plan.short_deadline_s)
             if self.rng.random() < 0.3
             else ("later", self.plan.longest_deadline_s)
         )
         patience_s = deadline_s * self.rng.uniform(0.3, 1.0)
-        ident, now = f"{self.rng.getrandbits(64):016x}", self.loop.time()
+        ident = f"{self.rng.getrandbits(64):016x}"
         message = invite(
             ident,
             dest=self.rng.randrange(self.plan.server_count),
             timer=int(patience_s * 1000),
             call_class=call_class,
         )
+        return ident, message, call_class, patience_s
+
+    def record_request(
+        self,
+        agent: AgentProcesses,
+        connection: SipConnection,
+        ident: str,
+        call_class: str,
+        patience_s: float,
+        resent: bool = False,
+    ) -> None:
+        """Record a set-up whose last byte is sent now."""
+        now = self.loop.time()
         self.pending[ident] = PendingSetup(agent, connection, now, call_class, patience_s, resent)
         self.requests[ident] = agent, now
         self.record.audit.call_requested(now, ident, call_class, patience_s)
         self.record.note(ident, "caller", f"set-up to agent {agent.number}, waits {patience_s:.3f} s")
-        connection.send(message.encode())
         self._count("asked")
+
+    def _set_up(self, agent: AgentProcesses, connection: SipConnection, resent: bool = False) -> str:
+        """Send a set-up; returns its id."""
+        ident, message, call_class, patience_s = self.compose(agent)
+        self.record_request(agent, connection, ident, call_class, patience_s, resent)
+        connection.send(message.encode())
         return ident
 
     async def _place_call(self, agent: AgentProcesses, resent: bool = False) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,47 +7,22 @@
 import tempfile
 import time
 import traceback
-from collections import Counter
-from dataclasses import dataclass, field
+from collections.abc import Callable
 from pathlib import Path
 
-from seamlb.emulator.audit import SLACK_S
 from tests.soak.agents import ATTEMPTS_CAP, MOSTLY_READY_WITHIN_S, AgentProcesses
 from tests.soak.board import Board
 from tests.soak.callers import Callers
 from tests.soak.draw import CALLS_FOR_S, Fault, Plan, make_plan
 from tests.soak.record import Record
 from tests.soak.servers import Server
+from tests.soak.verdict import Verdict
 
 DRAIN_S = 1.5  # from Terminating to the end of a server's process
 DOWN_S = 0.7  # from a crash to the next process
 TAIL_S = 1.5  # after the longest wait and the last release, before the final audit
 
 
-@dataclass
-class Verdict:
-    """The result of one seed."""
-
-    seed: int
-    violations: list[str] = field(default_factory=list)
-    disturbed: list[str] = field(default_factory=list)  # violations that a delay of this process may have caused
-    max_delay: float = 0.0  # of this process, in seconds
-    figures: dict[str, object] = field(default_factory=dict)
-
-    @property
-    def status(self) -> str:
-        """passed, failed, or disturbed: neither, as this observing process was itself delayed."""
-        return (
-            "failed" if self.violations else "disturbed" if self.disturbed or self.max_delay > SLACK_S else "passed"
-        )
-
-    def lines(self) -> list[str]:
-        """Format the verdict, with the command that reruns this seed."""
-        head = f"seed {self.seed}: {self.status}, max observer delay {self.max_delay * 1000:.0f} ms, {self.figures}"
-        rerun = [f"  rerun: python -m tests.soak --first {self.seed} --seeds 1"] if self.status != "passed" else []
-        return [head, *rerun, *self.violations, *(f"disturbed: {line}" for line in self.disturbed)]
-
-
 class Run:
     """The run of one seed."""
 
@@ -56,7 +31,7 @@
         self.loop = asyncio.get_running_loop()
         self.record = Record(folder, ATTEMPTS_CAP)
         agents = len(plan.inherited)
-        self.board = Board(self.record, agents)
+        self.board = self._make_board(agents)
         self.all_servers: list[Server] = []
         self.servers = [self._make_server(number, 0) for number in range(plan.server_count)]
         self.server_locks = [asyncio.Lock() for _ in self.servers]  # one drain or crash per server at a time
@@ -64,6 +39,12 @@
         self.played_faults: list[str] = []
         self.unaudited: set[str] = set()
 
+    def _make_board(self, agents: int) -> Board:
+        return Board(self.record, agents)
+
+    def _make_callers(self) -> Callers:
+        return Callers(self.plan, self.agents, self.record, self.rng)
+
     def _make_server(self, number: int, generation: int) -> Server:
         rng = random.Random(f"{self.plan.seed} {number} {generation}")
         made = Server(f"s{number}-{generation}", len(self.plan.inherited), self.plan.holding_s, self.record, rng)
@@ -82,7 +63,7 @@
                 AgentProcesses(number, self.plan, self.board.addresses[number], initial_list, self.record)
             )
         await asyncio.gather(*(agent.start() for agent in self.agents))
-        callers = Callers(self.plan, self.agents, self.record, self.rng)
+        callers = self._make_callers()
         started_at = self.loop.time()
         timeline = [self.loop.create_task(self._play_fault(fault, started_at, callers)) for fault in self.plan.faults]
         connection_task = self.loop.create_task(callers.maintain_connections())
@@ -227,24 +208,23 @@
         return calls
 
 
-async def _play_or_fail(seed: int, folder: Path) -> Verdict:
+async def _play_or_fail(seed: int, folder: Path, make_run: Callable[[int, Path], Run]) -> Verdict:
     try:
-        return await Run(make_plan(seed), folder).play()
+        return await make_run(seed, folder).play()
     except Exception as error:  # an error of the harness fails this run and must not end the others
         return Verdict(seed, [f"the harness: {error!r}\n{traceback.format_exc()}"])
 
 
-def play(seed: int, keep: str = "") -> Verdict:
+def make_run(seed: int, folder: Path) -> Run:
+    """The run of a seed, with restarts as the main fault."""
+    return Run(make_plan(seed), folder)
+
+
+def play(seed: int, keep: str = "", make_run: Callable[[int, Path], Run] = make_run) -> Verdict:
     """Run one seed; `keep`: a folder for the files of the run, such as the agents' logs."""
     if keep:
         folder = Path(keep) / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(_play_or_fail(seed, folder))
+        return asyncio.run(_play_or_fail(seed, folder, make_run))
     with tempfile.TemporaryDirectory() as temporary:
-        return asyncio.run(_play_or_fail(seed, Path(temporary)))
-
-
-def summarize(verdicts: list[Verdict]) -> str:
-    """The number of runs by status."""
-    counts = Counter(verdict.status for verdict in verdicts)
-    return ", ".join(f"{counts[status]} {status}" for status in ("passed", "disturbed", "failed"))
+        return asyncio.run(_play_or_fail(seed, Path(temporary), make_run))
