Soak: a release counts as sent only if its connection had not ended before it was written

Trace: s0-0 releases at 7.148, the same instant the connection ends (its process drains), 'release waits for a connection'; the next process has one at 7.828 and its caller reads the release at 8.330, 0.5 s after. The rule gives 8 s where no release could be sent. The time of 1 s still counts from the write that succeeds.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -43,7 +43,6 @@
         self.connections: defaultdict[int, list[SipConnection]] = defaultdict(list)  # by agent
         self.unsent_releases: defaultdict[int, list[str]] = defaultdict(list)  # by agent: calls to release
         self.unconfirmed_releases: dict[str, tuple[SipConnection, float]] = {}  # without a 200: sent on, at
-        # Data to write, and a callback for when it is written.
         self.outgoing: dict[SipConnection, asyncio.Queue[tuple[bytes, Callable[[], None]]]] = {}
         self.deferred: list[Callable[[], None]] = []  # work of a hung process to do on waking
         self.unannounced: list[tuple[int, SipConnection]] = []  # connections made during a hang
@@ -103,11 +102,13 @@
         while True:
             data, on_sent = await self.outgoing[connection].get()
             size = -(-len(data) // PIECE_COUNT) if self.in_pieces else len(data)
+            sent = True
             for at in range(0, len(data), size):
-                connection.send(data[at : at + size])
+                sent = connection.send(data[at : at + size]) and sent
                 if self.in_pieces:
                     await asyncio.sleep(PIECE_INTERVAL_S)
-            on_sent()
+            if sent:  # the connection had not ended
+                on_sent()
 
     def _state_message(self) -> Message:
         free = max(0, LINE_COUNT - sum(call.established for call in self.calls.values()))
