Release the calls of a vanished server where the network or a proxy answers for it

Now every failure but a lack of own descriptors or ports counts, and a connection that its peer closes without a byte proves nothing.

--- a/seamlb/desks/connection_attempt.py
+++ b/seamlb/desks/connection_attempt.py
@@ -14,6 +14,7 @@
     from seamlb.desks.connection_manager import ConnectionManager
 
 MIN_PATIENCE = 1.5  # seconds; connections of a live server may take 1 s to come up
+CLOSED_BY_PEER = (CloseReason.PEER_RESET, CloseReason.PEER_CLOSED)
 MIN_STATE_WAIT = 0.5  # seconds for the state on a new connection
 
 
@@ -51,6 +52,7 @@
         except ConnectError as error:
             self._failed(error.reason, patience)
             return
+        last_accept = self.manager.liveness.last_accept
         self.manager.liveness.accepted(self.loop.time())
         self.came_up.set_result(None)
         if self.link.removed:
@@ -60,10 +62,13 @@
         else:
             await self._use(connection)
         self.reason = connection.reason
+        if self.reason in CLOSED_BY_PEER and self.manager.liveness.last_sign < self.started:
+            self.manager.liveness.closed_unheard(last_accept)
+            self._failed(self.reason, patience)
 
     def _failed(self, reason: CloseReason, patience: float) -> None:
         self.reason = reason
-        if reason in (CloseReason.CONNECT_TIMEOUT, CloseReason.REFUSED):
+        if reason != CloseReason.LIMIT:  # this process has no descriptor or port left, which tells of no server
             now = self.loop.time()
             due = self.started + patience if reason == CloseReason.CONNECT_TIMEOUT else now
             self.manager.liveness.attempt_failed(self.started, due, now)
--- a/seamlb/desks/liveness.py
+++ b/seamlb/desks/liveness.py
@@ -41,8 +41,15 @@
         """A connection has come up."""
         self.last_accept = max(self.last_accept, now)
 
+    def closed_unheard(self, last_accept: float) -> None:
+        """A connection that came up was closed by the peer without a byte: no process that hangs does that.
+
+        `last_accept` is restored: a proxy may accept connections for a host that has vanished.
+        """
+        self.last_accept = last_accept
+
     def attempt_failed(self, started: float, due: float, now: float) -> None:
-        """No connection came up by `due`, or it was refused; a late time-out tells that this process stood still."""
+        """There is no connection by `due`, or one was turned down; a late time-out tells of this process only."""
         if now - due <= ON_TIME:
             self.last_failure = max(self.last_failure, started)
 
--- a/seamlb/net/connecting.py
+++ b/seamlb/net/connecting.py
@@ -13,6 +13,11 @@
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connection import MAX_UNSENT, READ_CHUNK, Connection, next_ident
 
+REASONS: dict[int | None, CloseReason] = {  # by error number; PEER_RESET for all others
+    errno.ECONNREFUSED: CloseReason.REFUSED,
+    errno.EADDRNOTAVAIL: CloseReason.LIMIT,  # no local port is left
+}
+
 
 class ConnectError(Exception):
     """A connection could not be established."""
@@ -37,8 +42,8 @@
     except TimeoutError:
         reason = CloseReason.CONNECT_TIMEOUT
     except StreamClosedError as error:
-        refused = isinstance(error.real_error, OSError) and error.real_error.errno == errno.ECONNREFUSED
-        reason = CloseReason.REFUSED if refused else CloseReason.PEER_RESET
+        number = error.real_error.errno if isinstance(error.real_error, OSError) else None
+        reason = REASONS.get(number, CloseReason.PEER_RESET)
     except asyncio.CancelledError:
         stream.close()
         _failed(ident, kind, address, CloseReason.SHUTDOWN)
--- a/tests/vanishing.py
+++ b/tests/vanishing.py
@@ -62,6 +62,16 @@
             filler.connect_ex(self.listener.getsockname())
             self.fillers.append(filler)
 
+    def close_accepted(self) -> None:
+        """Accept connections and close them at once, as a proxy does whose server cannot be reached."""
+
+        async def accept() -> None:
+            while True:
+                accepted, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+                accepted.close()
+
+        self.accepting = asyncio.create_task(accept())
+
     def refuse_connections(self) -> None:
         """Close the listener, as a server that drains does: open connections stay, and tests on them are answered."""
         self.accepting.cancel()
