Soak: what discovery writes to a connection that the agent has closed does not count as told

Trace: agent 2 left 127.0.0.1:34715 at 3.308 (connection_end replaced) and came back to it at 3.65; the board answered the poll of the connection closed at 3.308 as it heard of the drain, and counted the agent as told. The poll on the open connection was swallowed in the outage, and the agent heard 0.004 s after its next one.

--- a/tests/soak/faulty_board.py
+++ b/tests/soak/faulty_board.py
@@ -123,6 +123,8 @@
                     await reader.read()  # never answered: wait for the end of the connection
                     return writer.close()
                 await asyncio.sleep(self.answer_delay_s)
+                if reader.at_eof():  # the agent has closed this connection, so nothing told on it counts
+                    return writer.close()
                 body = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
                 self._note_told(agent, answer)
