Let an answer of discovery that has arrived count though the address has just changed

Callers would see: set-ups to a server whose drain discovery had told just before a new configuration moved it. The new test of test_discovery_addresses.py failed before (0 lists for 1) and passes.

--- a/seamlb/discovery/board.py
+++ b/seamlb/discovery/board.py
@@ -17,6 +17,7 @@
 from seamlb.routing.model import Availability, Desk, DeskListCallback, Scope
 
 MAX_LAG = 7.0  # seconds the board may be late; its events count as known after that
+LEAVE_WAIT = 0.02  # seconds for an answer that has arrived from an address that is left
 PHASES = {"Ready": Availability.READY, "Terminating": Availability.DRAINING, "Gone": Availability.GONE}
 
 
@@ -113,7 +114,7 @@
         try:
             while True:
                 self.address_changed = loop.create_future()
-                self._leave_old_address()
+                await self._leave_old_address()
                 if self.address and loop.time() >= self.polls.next_due:
                     self._send_poll(loop.time())
                 waits: set[asyncio.Future[Any]] = {
@@ -129,9 +130,12 @@
             for task in tasks:
                 task.cancel()
 
-    def _leave_old_address(self) -> None:
-        """Close the polls if the address has changed since they were sent."""
-        if any(poll.poller.address != self.address for poll in self.polls.under_way):
+    async def _leave_old_address(self) -> None:
+        """Close the polls if the address has changed since they were sent; what has arrived still counts."""
+        left = [poll.task for poll in self.polls.under_way if poll.poller.address != self.address]
+        if left:
+            await asyncio.wait(left, timeout=LEAVE_WAIT, return_when=asyncio.FIRST_COMPLETED)
+            self._process_polls(asyncio.get_running_loop().time())
             self.polls.close(CloseReason.REPLACED)
 
     def _send_poll(self, now: float, poller: Poller | None = None) -> None:
@@ -149,9 +153,10 @@
         for poll in self.polls.take_overdue(now):
             self._log_failure(poll, "silent" if poll.poller.connected else "connecting")
         for poll in self.polls.take_answered():
+            error = self._apply_answer(poll)
             if poll.poller.address != self.address:
                 poll.poller.close(CloseReason.REPLACED)
-            elif error := self._apply_answer(poll):
+            elif error:
                 poll.poller.close(CloseReason.MALFORMED)
                 self._log_failure(poll, error)
                 self.polls.failed(now)
@@ -165,8 +170,9 @@
             if response.status != 200:
                 raise NoticeError(f"status {response.status}")
             raw = orjson.loads(response.body)
+            left = poll.poller.address != self.address
             if poll.numbering == self.numbering:  # else the numbers of its events are those before a restart
-                self.apply(raw, poll.watch)
+                self.apply(raw, 0 if left else poll.watch)  # a board that was left is not asked again for anything
         except PollError as error:
             return str(error)
         except (NoticeError, orjson.JSONDecodeError) as error:
--- a/tests/test_discovery_addresses.py
+++ b/tests/test_discovery_addresses.py
@@ -1,9 +1,11 @@
 """The notice board's client while its address changes, and as it ends."""
 
 import asyncio
+import os
+import time
 
 from seamlb.discovery.board import Board
-from tests.http_peers import DiscoveryTestCase, ScriptedHttpServer
+from tests.http_peers import DiscoveryTestCase, ScriptedHttpServer, http, notices
 
 TURNS = range(26)  # of the event loop: from before the connection of a poll to long after it
 HEARD_WITHIN = 2.0  # seconds, without load
@@ -61,3 +63,17 @@
                 endless.append(turns)
                 following.cancel()
         self.assertEqual(endless, [])
+
+    # Incident 86c537, kin: an answer that lay in the socket as the address changed was thrown away.
+    async def test_an_answer_that_has_arrived_as_the_address_changes_counts(self) -> None:
+        published: list[object] = []
+        server, deaf = await self.server(), await self.server()
+        board = Board(server[1], ["z"], lambda scope, desks: published.append(desks))
+        await self.follow(board, server[0])
+        await self.eventually(lambda: server[0].paths)
+        answer = http(notices(1, ("a", "Terminating"), complete=True))
+        os.write(server[0].writers[0].get_extra_info("socket").fileno(), answer)
+        time.sleep(0.05)  # the event loop has not seen it yet
+        board.set_address(deaf[1])
+        await self.eventually(lambda: deaf[0].paths)
+        self.assertEqual(len(published), 1)
