--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -17,9 +17,8 @@
 from seamlb.fronts import management
 from seamlb.fronts.platform import PlatformFront
 from seamlb.lifecycle import Lifecycle
-from seamlb.net import descriptors
+from seamlb.net import descriptors, tasks
 from seamlb.net.address import split_address
-from seamlb.net.tasks import end_tasks
 from seamlb.optional_components import hook, sip_desks, sip_front
 from seamlb.routing.agent import Agent, Clock
 from seamlb.routing.model import Discovery, Request
@@ -173,9 +172,9 @@
 
     def stats(self) -> dict[str, Any]:
         """The content of `/admin/stats`."""
-        stats = self.agent.stats() | {"cfg_accepted": self.cfg_accepted, "cfg_invalid": self.cfg_invalid}
-        stats |= self.board.stats() | (self.platform_desks.stats() if self.platform_desks else {})
-        return stats | {"longest_lateness_ms": round(self.front.longest_lateness() * 1000.0, 1)}
+        stats = self.agent.stats() | self.board.stats() | self.front.stats()
+        stats |= {"cfg_accepted": self.cfg_accepted, "cfg_invalid": self.cfg_invalid}
+        return stats | self.platform_desks.stats() if self.platform_desks else stats
 
     async def _run_source(self, source: Discovery) -> None:
         """Follow a source of the list; after an error, which is logged, it restarts, so that no drain is missed."""
@@ -253,7 +252,7 @@
 
     async def close(self) -> None:
         """Flush queued bytes and close everything."""
-        await end_tasks("daemon", self.tasks)
+        await tasks.end_tasks("daemon", self.tasks)
         self.front.close()
         self.management.close()
         for subsystem in self.subsystems:
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -70,9 +70,9 @@
         """Count the caller connections that are open and whose caller is not suspected of having stopped reading."""
         return sum(not client.connection.closed and client.release_sender.acked for client in self.clients)
 
-    def longest_lateness(self) -> float:
-        """Seconds by which a timer of this process was late at most."""
-        return self.lag.longest if self.lag else 0.0
+    def stats(self) -> dict[str, float]:
+        """By how many milliseconds a timer of this process was late at most."""
+        return {"longest_lateness_ms": round(self.lag.longest * 1000.0, 1) if self.lag else 0.0}
 
     def close(self) -> None:
         """Stop listening and close all connections."""
