--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A duty desk's process crashes and is started again; the roster tells of it seconds later."""
+"""A duty desk's machine vanishes for 5 s and comes back cold; the roster tells of its new start seconds later."""
 
 from __future__ import annotations
 
@@ -12,24 +12,30 @@
 
 from standins.board import Board, member
 from standins.callers import Callers
+from standins.host import Host
 from standins.site import SETTINGS, TENANT, TROUBLE, Site, free_port, run_case
 
 DESKS = 4
-PERIOD = 0.25  # seconds between two set-ups
-DOWN = 1.0  # seconds until the process is started again
-ROSTER_LATE = 4.0  # seconds from the new start to the roster's word of it; site file: 0.76 to 4.4
-SLACK = 1.05  # seconds: "within 1 s", and each limit is 50 ms longer
-CRASH_AT, END_AT = 4.0, 22.0  # seconds after the first set-up; calls last 9 s
+PERIOD = 0.2  # seconds between two set-ups
+GONE = 5.0  # seconds for which the machine is gone
+BOOT = 0.5  # seconds from the new process's start to the machine's network
+ROSTER_LATE = 4.4  # seconds from the new start to the roster's word of it; site file: 0.76 to 4.4
+VANISH_AT, LAST_AT = 5.0, 17.0  # seconds after the first set-up; calls last 9 s
+WITHIN_CUT = 8.05  # seconds from a call's end to its caller's release where no release could be sent
+WITHIN = 1.05  # seconds from a release; each limit is 50 ms longer
 
 
 async def play(site: Site) -> list[str]:
     """Play the case; returns the violations."""
     rng = random.Random(1)
-    ports = [free_port() for _ in range(DESKS)]
-    desks = [site.start_desk(f"desk{k}", port) for k, port in enumerate(ports)]
+    inner, outer = [free_port() for _ in range(DESKS)], [free_port() for _ in range(DESKS)]
+    desks = [site.start_desk(f"desk{k}", port) for k, port in enumerate(inner)]
     await site.until(lambda: sum(one["what"] == "up" for one in site.desk_lines()) == DESKS, "desks up")
+    hosts = [Host(port, site.log) for port in inner]
+    for host, port in zip(hosts, outer, strict=True):
+        host.listen(port)
     board = Board()
-    board.add([member(f"s-{k}", port, k) for k, port in enumerate(ports)], complete=True)
+    board.add([member(f"s-{k}", port, k) for k, port in enumerate(outer)], complete=True)
     config = {
         "name": "n1",
         "listen": f"127.0.0.1:{free_port()}",
@@ -40,70 +46,76 @@
         "settings": SETTINGS,
     }
     agent = site.start_agent("n1", config)
-    host, _, port = config["listen"].partition(":")
-    callers = Callers((host, int(port)), site.log)
+    address, _, port = config["listen"].partition(":")
+    callers = Callers((address, int(port)), site.log)
     await site.until(lambda: any(one["event"] == "serving" for one in site.agent_lines("n1")), "agent serving")
     await callers.connect()
     if not await callers.passes_test():
         return ["the agent does not pass the test after its start"]
+    vanished = 0.0
 
     async def trouble() -> None:
-        await asyncio.sleep(CRASH_AT)
+        nonlocal vanished
+        await asyncio.sleep(VANISH_AT)
         if not TROUBLE:
             return
-        site.log("crash", desk="desk0")
+        vanished = time.time()
+        site.log("vanishes", desk="desk0")
+        hosts[0].vanish()
         desks[0].kill()
         desks[0].wait()
-        await asyncio.sleep(DOWN)
-        desks[0] = site.start_desk("desk0", ports[0])
+        await asyncio.sleep(GONE - BOOT)
         started = time.time()
-        site.log("started_again", desk="desk0")
-        await asyncio.sleep(ROSTER_LATE)
+        desks[0] = site.start_desk("desk0", inner[0])
+        await asyncio.sleep(BOOT)
+        hosts[0].come_back()
+        site.log("back", desk="desk0")
+        await asyncio.sleep(ROSTER_LATE - BOOT)
         site.log("roster_tells", desk="desk0", phase="Ready", up_since_ms=int(started * 1000))
-        await board.tell([member("s-0", ports[0], 0, since_ms=int(started * 1000))])
+        await board.tell([member("s-0", outer[0], 0, since_ms=int(started * 1000))])
 
     troubled = asyncio.create_task(trouble())
     begun = time.time()
-    while time.time() < begun + END_AT - 10.0:
+    while time.time() < begun + LAST_AT:
         callers.set_up(f"{rng.getrandbits(64):016x}", "alert-confirm", 2000, rng.randrange(DESKS), TENANT)
         await asyncio.sleep(PERIOD)
-    await asyncio.sleep(10.0 + SLACK)
+    await asyncio.sleep(9.0 + WITHIN + 2.0)
     await troubled
     if agent.poll() is not None:
         return ["the agent has ended"]
-    return judge(site, callers)
+    return judge(site, callers, vanished)
 
 
-def judge(site: Site, callers: Callers) -> list[str]:
-    """A caller is told that its call is over only if it is over at its desk, or is released there too."""
-    lines = site.desk_lines()
-    broken = []
-    stood = 0
+def judge(site: Site, callers: Callers, vanished: float) -> list[str]:
+    """What has ended is released towards its caller in time, and what stands is not."""
+    lines: dict[str, list[dict[str, object]]] = {}
+    for line in site.desk_lines():
+        lines.setdefault(str(line.get("call")), []).append(line)
+    late, cut, stood = [], [], 0
     for call in callers.calls.values():
         if not call.answers or call.answers[0][1] != 200:
             continue
         stood += 1
-        if not call.releases:
-            continue
-        told_at, cause = call.releases[0]
-        at_desk = [line for line in lines if line.get("call") == call.ident]
-        standing = next(line for line in at_desk if line["what"] == "stands")
-        later_start = [
-            line["at"]
-            for line in lines
-            if line["who"] == standing["who"] and line["what"] == "up" and line["at"] > standing["at"]
-        ]
-        if later_start:
-            continue  # the process in which it stood has ended, and with it the call
-        ends = [line["at"] for line in at_desk if line["what"] in ("release_sent", "released_by_agent")]
-        if not ends or min(ends) > told_at + SLACK:
-            went_on = f"{min(ends) - told_at:.1f} s more" if ends else "to the end of the run"
-            broken.append(
-                f"call {call.ident}: its caller was told with cause {cause} that it is over, "
+        told = call.releases[0][0] if call.releases else float("inf")
+        at_desk = lines[call.ident]
+        standing = [line for line in at_desk if line["what"] == "stands"][-1]
+        ends = [float(str(line["at"])) for line in at_desk if line["what"] in ("release_sent", "released_by_agent")]
+        if (
+            standing["who"] == "desk0"
+            and float(str(standing["at"])) < vanished
+            and (not ends or min(ends) > vanished)
+        ):
+            if told > vanished + WITHIN_CUT:
+                when = f"{told - vanished:.2f} s after it" if call.releases else "never"
+                late.append(f"call {call.ident}: ended with its machine, its caller was told {when}")
+        elif call.releases and (not ends or min(ends) > told + WITHIN):
+            went_on = f"{min(ends) - told:.1f} s more" if ends else "to the end of the run"
+            cut.append(
+                f"call {call.ident}: its caller was told with cause {call.releases[0][1]} that it is over, "
                 f"it stood at {standing['who']} {went_on}, and no release was sent there"
             )
-    site.log("judged", stood=stood, broken=len(broken))
-    return broken
+    site.log("judged", stood=stood, late=len(late), cut=len(cut))
+    return late + cut
 
 
 if __name__ == "__main__":
