--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,9 +10,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from standins.board import Board, member
-from standins.callers import Callers
-from standins.site import SETTINGS, TENANT, TROUBLE, Site, free_port, run_case
+from standin_board import Board, member
+from standin_callers import Callers
+from standin_site import SETTINGS, TENANT, TROUBLE, Site, free_port, run_case
 
 DESKS = 4
 LINES, HOLD = 13, 3.0  # agents of each desk, and seconds that a call lasts: 17 calls a second in all
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,10 +10,10 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from standins.board import Board, member
-from standins.callers import Callers
-from standins.host import Host
-from standins.site import SETTINGS, TENANT, TROUBLE, Site, free_port, run_case
+from standin_board import Board, member
+from standin_callers import Callers
+from standin_host import Host
+from standin_site import SETTINGS, TENANT, TROUBLE, Site, free_port, run_case
 
 DESKS = 4
 PERIOD = 0.2  # seconds between two set-ups
--- a/review/standins/callers.py
+++ b/review/standin_callers.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from standins import wire
+import standin_wire as wire
 
 
 @dataclass
--- a/review/standins/desk.py
+++ b/review/standin_desk.py
@@ -17,13 +17,9 @@
 import signal
 import socket
 import struct
-import sys
 import time
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-
-from standins import wire
+import standin_wire as wire
 
 ANSWER_AFTER = 0.02  # seconds
 STATE_EVERY = 0.4  # seconds
--- a/review/standins/sip_phone.py
+++ b/review/standin_sip_phone.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from standins import wire
-from standins.callers import Call
+import standin_wire as wire
+from standin_callers import Call
 
 T1, T2 = 0.5, 4.0  # seconds
 
--- a/review/standins/site.py
+++ b/review/standin_site.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LIMIT_S = 110.0  # a case that takes longer could not run
 TENANT = "pest-megye"
@@ -91,8 +91,19 @@
 
     def start_desk(self, name: str, port: int, *options: str) -> subprocess.Popen[bytes]:
         """Start the process of a duty desk."""
-        script = str(ROOT / "review/standins/desk.py")
-        command = [sys.executable, script, "--name", name, "--port", str(port), "--log", str(self.desk_log), *options]
+        script = str(ROOT / "review/standin_desk.py")
+        command = [
+            sys.executable,
+            "-B",
+            script,
+            "--name",
+            name,
+            "--port",
+            str(port),
+            "--log",
+            str(self.desk_log),
+            *options,
+        ]
         return self.start(command, "desks.out")
 
     def start_agent(self, name: str, config: dict[str, Any], plugins: str = "") -> subprocess.Popen[bytes]:
