--- a/seamlb/desks/reader.py
+++ b/seamlb/desks/reader.py
@@ -7,7 +7,8 @@
 from seamlb import log
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connection import Connection
-from seamlb.protocol.sip import Framer, Message, SipError, find_byes
+from seamlb.protocol.framing import Framer, find_byes
+from seamlb.protocol.sip import Message, SipError
 
 PARTIAL_MESSAGE_TIMEOUT = 0.25  # seconds; after a truncated answer the connection is unusable
 SALVAGE_TIME = 0.25  # seconds in which releases are still read from an abandoned connection
--- a/seamlb/emulator/loadcallers.py
+++ b/seamlb/emulator/loadcallers.py
@@ -12,7 +12,8 @@
 
 from seamlb.emulator.audit import Audit
 from seamlb.emulator.loadsite import Load
-from seamlb.protocol.sip import Framer, Message, SipError, parameter, parse_datagram, response
+from seamlb.protocol.framing import Framer
+from seamlb.protocol.sip import Message, SipError, parameter, parse_datagram, response
 
 
 class Callers(asyncio.DatagramProtocol):
--- a/seamlb/emulator/loaddesks.py
+++ b/seamlb/emulator/loaddesks.py
@@ -12,7 +12,8 @@
 
 from seamlb.emulator.audit import Audit
 from seamlb.emulator.loadsite import Load
-from seamlb.protocol.sip import Framer, Message
+from seamlb.protocol.framing import Framer
+from seamlb.protocol.sip import Message
 
 FAULTS = ("reset", "mute", "wake", "full", "empty", "drain")
 
--- a/seamlb/fronts/calls.py
+++ b/seamlb/fronts/calls.py
@@ -8,7 +8,8 @@
 
 from seamlb.fronts.releases import ReleaseSender
 from seamlb.net.connection import Connection
-from seamlb.protocol.sip import Framer, Message, response
+from seamlb.protocol.framing import Framer
+from seamlb.protocol.sip import Message, response
 from seamlb.routing.agent import CallSession
 
 if TYPE_CHECKING:
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -16,7 +16,8 @@
 from seamlb.net.connection import Connection
 from seamlb.net.datagram import DatagramEndpoint
 from seamlb.net.listener import Listener
-from seamlb.protocol.sip import Framer, Message, SipError, is_decimal, parameter, parse_datagram, response
+from seamlb.protocol.framing import Framer
+from seamlb.protocol.sip import Message, SipError, is_decimal, parameter, parse_datagram, response
 from seamlb.protocol.transaction import (
     MAGIC_COOKIE,
     Deliver,
@@ -274,8 +275,7 @@
             self._send_response(response(request, error.status, tag=secrets.token_hex(4)), request, flow)
 
     async def _serve(self, connection: Connection) -> None:
-        host, port = split_address(connection.peer)
-        flow, framer = Flow("TCP", (host, port), connection), Framer()
+        flow, framer = Flow("TCP", split_address(connection.peer), connection), Framer()
         self.connections.add(connection)
         connection.in_use = lambda: any(
             entry.connection is connection and entry.machine.state.name in ("TRYING", "PROCEEDING")
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,7 +13,8 @@
 from seamlb import api
 from seamlb.config import Config, Overrides, read
 from seamlb.daemon import Daemon
-from seamlb.protocol.sip import Framer, Message, response
+from seamlb.protocol.framing import Framer
+from seamlb.protocol.sip import Message, response
 from seamlb.routing.model import Desk
 from tests.support import RAW
 
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -6,7 +6,8 @@
 import socket
 from collections.abc import Callable
 
-from seamlb.protocol.sip import Framer, Message
+from seamlb.protocol.framing import Framer
+from seamlb.protocol.sip import Message
 
 
 def reserve() -> socket.socket:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -5,8 +5,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from seamlb.protocol.framing import Framer, find_byes
 from seamlb.protocol.report import parse_figures, parse_load_report
-from seamlb.protocol.sip import Framer, Message, SipError, find_byes, parse_datagram, split_list
+from seamlb.protocol.sip import Message, SipError, parse_datagram, split_list
 
 VALID_INVITE = (
     b"INVITE sip:7@net SIP/2.0\r\nv: SIP/2.0/TCP a;branch=z9hG4bK1,\r\n SIP/2.0/TCP b\r\ni: 1\r\n"
