--- a/seamlb/desks/reader.py
+++ b/seamlb/desks/reader.py
@@ -39,7 +39,7 @@
 
     def __init__(self, owner: ReaderOwner, connection: Connection) -> None:
         self.owner, self.connection = owner, connection
-        self.framer = Framer(check_bodies=True)
+        self.framer = Framer(strict=True)
         self.residual = bytearray()  # data received after the framing was lost
         connection.message_timeout, connection.linger_time = PARTIAL_MESSAGE_TIMEOUT, SALVAGE_TIME
         connection.on_message_timeout = self._message_timed_out
--- a/seamlb/protocol/framing.py
+++ b/seamlb/protocol/framing.py
@@ -33,7 +33,11 @@
 )
 MIN_START_BYTES = 3  # shorter parts of a start may end a body by chance
 PARTIAL_STARTS = tuple(start[:size] for start in MESSAGE_STARTS for size in range(MIN_START_BYTES, len(start)))
-BYE_PATTERN = re.compile(rb"BYE sips?:\S+ SIP/2\.0\r\n((?:[A-Za-z-]+:[^\r\n]*\r\n)+)")
+STATUS_LINE_START = b"SIP/2.0 "
+LONGEST_START = 16  # bytes that tell whether a message starts there
+START_LINE = re.compile(  # a start line wherever it begins: the line before it may have been truncated
+    rb"SIP/2\.0 [1-6][0-9]{2}(?![^ \r])|(?P<method>%s) sips?:\S+ SIP/2\.0(?=\r\n|\Z)" % b"|".join(METHODS)
+)
 
 
 def may_start_message(data: bytes) -> bool:
@@ -54,12 +58,29 @@
     return starts_within or body.endswith(PARTIAL_STARTS) or not may_start_message(rest)
 
 
+def has_merged_messages(head: bytes) -> bool:
+    """Reports whether a start line and headers were truncated and then completed with those of the next message.
+
+    The result may parse without an error, with the status of the first message and the Call-ID of the second.
+    """
+    own_start = len(STATUS_LINE_START) if head.startswith(STATUS_LINE_START) else head.find(b"\r\n")
+    return own_start >= 0 and START_LINE.search(head, own_start) is not None
+
+
 def find_byes(data: bytes) -> list[Message]:
     """Finds the BYEs in bytes whose framing is lost, also those truncated after the Call-ID header."""
     byes = []
-    for match in BYE_PATTERN.finditer(data):
-        lines = (line.partition(":") for line in match[1].decode("ascii", "replace").split("\r\n")[:-1])
-        headers = [(COMPACT_HEADERS.get(name.lower(), name), value.strip()) for name, _, value in lines]
+    starts = list(START_LINE.finditer(data))
+    ends = [start.start() for start in starts[1:]] + [len(data)]
+    for start, end in zip(starts, ends, strict=True):
+        if start["method"] != b"BYE":
+            continue
+        head, terminated, _ = data[start.end() + 2 : end].partition(b"\r\n\r\n")
+        lines = head.decode("ascii", "replace").split("\r\n")
+        if not terminated:
+            del lines[-1]  # it may be truncated
+        fields = (line.partition(":") for line in lines)
+        headers = [(COMPACT_HEADERS.get(name.lower(), name), value.strip()) for name, _, value in fields]
         message = Message("BYE", headers=headers)
         if message.get("call-id"):
             byes.append(message)
@@ -69,9 +90,9 @@
 class Framer:
     """Splits a stream into messages; a fatal SipError ends it and leaves the remaining bytes in `unparsed`."""
 
-    def __init__(self, limit: int = MAX_MESSAGE_BYTES, check_bodies: bool = False) -> None:
+    def __init__(self, limit: int = MAX_MESSAGE_BYTES, strict: bool = False) -> None:
         self.limit = limit
-        self.check_bodies = check_bodies  # a body that was completed with the next message is a fatal error
+        self.strict = strict  # each malformed message is a fatal error, and the bodies of requests are checked too
         self.data = bytearray()
         self.unparsed = b""
 
@@ -99,43 +120,55 @@
         return count
 
     def messages(self) -> Iterator[Message | SipError]:
-        """Yields the messages that are complete, and a SipError for each malformed one."""
+        """Yields the messages that are complete, and a SipError for each malformed one; a fatal one is the last."""
         while True:
-            while self.data.startswith(b"\r\n"):  # keep-alive (RFC 5626)
-                del self.data[:2]
-            end = self.data.find(b"\r\n\r\n")
-            if end < 0:
-                if len(self.data) > self.limit:
-                    yield SipError("message too large", None, 513)
-                return
-            error: SipError | None = None
             try:
-                message = parse_head(bytes(self.data[:end]))
-            except SipError as broken:
-                error = broken
-                if broken.message is None:
-                    yield broken
+                message = self._take_message()
+            except SipError as error:
+                yield error
+                if error.fatal:
                     return
-                message = broken.message
-            try:
-                length = content_length(message)
-            except SipError as broken:
-                yield broken
-                return
-            if length is None:
-                yield SipError("Content-Length missing", message)
-                return
-            size = end + 4 + length
-            if size > self.limit:
-                yield SipError("message too large", message, 513)
-                return
-            if len(self.data) < size:
-                return
-            message.body = bytes(self.data[end + 4 : size])
-            if self.check_bodies and message.body and is_corrupt(message.body, bytes(self.data[size : size + 16])):
-                del self.data[: end + 4]
-                yield SipError("message starts within the body of another", message)
+                continue
+            if message is None:
                 return
-            del self.data[:size]
-            message.headers = [pair for pair in message.headers if pair[0].lower() != "content-length"]
-            yield error or message
+            yield message
+
+    def _take_message(self) -> Message | None:
+        """Removes the next message from the data, which a fatal error leaves there; None if it is incomplete."""
+        while self.data.startswith(b"\r\n"):  # keep-alive (RFC 5626)
+            del self.data[:2]
+        end = self.data.find(b"\r\n\r\n")
+        if end < 0:
+            if len(self.data) > self.limit:
+                raise SipError("message too large", None, 513)
+            return None
+        message, error = self._parse_head(bytes(self.data[:end]))
+        length = content_length(message)
+        if length is None:
+            raise SipError("Content-Length missing", message)
+        start, size = end + 4, end + 4 + length
+        if size > self.limit:
+            raise SipError("message too large", message, 513)
+        if len(self.data) < size:
+            return None
+        message.body = bytes(self.data[start:size])
+        is_checked = message.body and (self.strict or message.status)
+        if is_checked and is_corrupt(message.body, bytes(self.data[size : size + LONGEST_START])):
+            raise SipError("message starts within the body of another", message)
+        del self.data[:size]
+        message.headers = [pair for pair in message.headers if pair[0].lower() != "content-length"]
+        if error:
+            raise error
+        return message
+
+    def _parse_head(self, head: bytes) -> tuple[Message, SipError | None]:
+        """Parses a head; returns a non-fatal error as well, as the message still has to be removed."""
+        if has_merged_messages(head):
+            raise SipError("message starts within the head of another")
+        try:
+            return parse_head(head), None
+        except SipError as error:
+            if self.strict or error.message is None:
+                error.fatal = True
+                raise
+            return error.message, error
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -62,17 +62,54 @@
         )
         for next_message in next_messages:
             for missing in range(1, len(body)):
-                framer, messages = Framer(check_bodies=True), list[Message | SipError]()
+                framer, messages = Framer(strict=True), list[Message | SipError]()
                 messages = parse(framer, answer[:-missing] + next_message + next_message)
                 self.assertFalse(messages and isinstance(messages[0], Message), (missing, next_message))
             for cut in range(1, len(next_message)):  # complete messages pass, however the stream is fragmented
-                framer = Framer(check_bodies=True)
+                framer = Framer(strict=True)
                 messages = parse(framer, answer + next_message[:cut]) + parse(framer, next_message[cut:])
                 self.assertTrue(
                     all(isinstance(message, Message) for message in messages) and len(messages) == 2,
                     (cut, next_message),
                 )
 
+    # Review case 2: the head of an answer that stopped short was completed with the next message, whose Call-ID and
+    # body then had the status of the first: a 200 for a call that its server had refused.
+    def test_truncated_head_is_not_completed_with_the_next_message(self) -> None:
+        via, report = ("Via", "SIP/2.0/TCP peer"), ("X-Occupancy", "idle:4;circuits:5")
+        own = [via, ("Call-ID", "1"), ("CSeq", "1 INVITE"), report]
+        answer = Message(status=200, reason="OK", headers=own, body=b"1 at a desk\r\n").encode()
+        others = (
+            Message(status=200, reason="OK", headers=[via, ("Call-ID", "2"), ("CSeq", "1 INVITE")], body=b"2\r\n"),
+            Message(status=503, headers=[via, ("Call-ID", "2"), ("CSeq", "1 INVITE")]),
+            Message("NOTIFY", "sip:state@net", headers=[("Call-ID", "2"), ("CSeq", "1 NOTIFY")]),
+            Message("OPTIONS", "sip:ping@net", headers=[("Call-ID", "2"), ("CSeq", "1 OPTIONS")]),
+            Message("BYE", "sips:call@net", headers=[("Call-ID", "2"), ("CSeq", "1 BYE")]),
+        )
+        for size in range(1, len(answer)):
+            for other in (message.encode() for message in others):
+                framer, seen = Framer(strict=True), list[Message | SipError]()
+                framer.feed_and_dispatch(answer[:size] + other + answer, seen.append, seen.append)
+                self.assertEqual([type(one) for one in seen], [SipError], (answer[:size], other))
+                found = [one.get("call-id") for one in find_byes(framer.unparsed)]
+                self.assertEqual(found, ["2"] if other.startswith(b"BYE") else [], (answer[:size], other))
+                messages = [one for one in parse(Framer(), answer[:size] + other) if isinstance(one, Message)]
+                self.assertEqual(messages, [], (answer[:size], other))
+
+    def test_malformed_message_of_a_strict_stream_is_left_to_the_search_for_byes(self) -> None:
+        bye = Message("BYE", "sip:call@net", headers=[("Call-ID", "7"), ("CSeq", "1 BYE")]).encode()
+        malformed = b"SIP/2.0 200 OK\r\nno colon\r\nContent-Length: 0\r\n\r\n"
+        framer, seen = Framer(strict=True), list[Message | SipError]()
+        framer.feed_and_dispatch(malformed + bye, seen.append, seen.append)
+        self.assertEqual([isinstance(one, SipError) and one.fatal for one in seen], [True])
+        self.assertEqual([one.get("call-id") for one in find_byes(framer.unparsed)], ["7"])
+
+    def test_truncated_bye_is_not_completed_with_the_next_message(self) -> None:
+        first, second = (Message("BYE", "sip:x@net", headers=[("Call-ID", ident)]).encode() for ident in "12")
+        for size in range(1, len(first)):
+            found = [message.get("call-id") for message in find_byes(first[:size] + second)]
+            self.assertIn(found, (["2"], ["1", "2"]), first[:size])
+
     def test_byes_are_found_after_the_framing_is_lost(self) -> None:
         bye = Message("BYE", "sip:call@net", headers=[("Call-ID", "7"), ("CSeq", "1 BYE")]).encode()
         stream = b"v=0\r\nhalf a lin" + bye + b"SIP/2.0 200 OK\r\n\r\n" + bye[:20] + bye + bye[:-30]
