--- a/seamlb/protocol/framing.py
+++ b/seamlb/protocol/framing.py
@@ -71,8 +71,8 @@
     """Finds the BYEs in bytes whose framing is lost, also those truncated after the Call-ID header."""
     byes = []
     starts = list(START_LINE.finditer(data))
-    ends = [start.start() for start in starts[1:]] + [len(data)]
-    for start, end in zip(starts, ends, strict=True):
+    boundaries = [*(start.start() for start in starts), len(data)]
+    for start, end in zip(starts, boundaries[1:], strict=True):
         if start["method"] != b"BYE":
             continue
         head, terminated, _ = data[start.end() + 2 : end].partition(b"\r\n\r\n")
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -114,7 +114,12 @@
         bye = Message("BYE", "sip:call@net", headers=[("Call-ID", "7"), ("CSeq", "1 BYE")]).encode()
         stream = b"v=0\r\nhalf a lin" + bye + b"SIP/2.0 200 OK\r\n\r\n" + bye[:20] + bye + bye[:-30]
         self.assertEqual([message.get("call-id") for message in find_byes(stream)], ["7", "7", "7"])
-        for data in (b"BYE sip:x@net SIP/2.0\r\nno colon\r\n\r\n", b"BYE sip:x@net SIP/2.0\r\nCall-ID: 12"):
+        for data in (
+            b"",
+            b"no start line\r\n\r\n",
+            b"BYE sip:x@net SIP/2.0\r\nno colon\r\n\r\n",
+            b"BYE sip:x@net SIP/2.0\r\nCall-ID: 12",
+        ):
             self.assertEqual(find_byes(data), [])
 
     @settings(derandomize=True, deadline=None, max_examples=400)
