--- a/seamlb/desks/connection_manager.py
+++ b/seamlb/desks/connection_manager.py
@@ -166,12 +166,15 @@
             connection.send(ping().encode())
 
     def _give_up(self, why: str) -> None:
-        """The server has ended: cut its calls, and close what is open to it."""
-        self.believe(Belief.GONE, why, len(self.link.legs.established(self.link.desk.ident)))
-        self.link.cut_established(why)
+        """The server has ended: close what is open to it, and cut its calls.
+
+        Their releases wait for the next connection, as the server may only have been cut off.
+        """
+        self.believe(Belief.GONE, why, len(self.link.established()))
         for connection in self.link.connections[:]:
             if not connection.has_unread_data():
                 connection.close(CloseReason.SILENT)
+        self.link.cut(self.link.established(), why)
 
     # -- the deadline for the release of calls ---------------------------------------------------
 
--- a/seamlb/desks/legs.py
+++ b/seamlb/desks/legs.py
@@ -28,6 +28,10 @@
         """The attempt's server and Call-ID."""
         return self.attempt.desk, self.attempt.request.ident
 
+    def is_on_connection_before(self, opened_at: float) -> bool:
+        """Whether the connection of the set-up was opened before that loop time."""
+        return self.connection is not None and self.connection.opened_at < opened_at
+
     def end(self, outcome: Outcome) -> None:
         """Report how the attempt or the established call ended."""
         self.notify(self.attempt.leg, outcome)
--- a/seamlb/desks/link.py
+++ b/seamlb/desks/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -16,6 +17,7 @@
 from seamlb.protocol.sip import Message
 from seamlb.routing.model import Attempt, Desk, Outcome, Status
 
+MS_PER_SECOND = 1000.0
 CAUSE_CUT = 41  # Q.850 cause of a call that was cut (temporary failure)
 STATE_SPREAD = 0.1  # seconds in which a state update arrives on all connections: a server sends it on each of them
 
@@ -107,10 +109,8 @@
         self.removed = True
         self.wakeup.set()
         self.fail_waiting()
+        self.cut(self.established(), why)
         for leg in self.legs.at_server(self.desk.ident):
-            if leg.established:
-                self.context.calls_cut[why] += 1
-                self.release(leg.attempt, CAUSE_CUT)  # the server may be alive and hold a line for the call
             self.legs.end(leg, Outcome(Status.RESET, cause=CAUSE_CUT))
         for connection in self.connections[:]:
             connection.flush_and_close(CloseReason.REPLACED)
@@ -121,12 +121,25 @@
         for leg in waiting:
             self.legs.end(leg, Outcome(Status.CONNECT_FAILED))
 
-    def cut_established(self, why: str) -> None:
-        """End the established calls, because the server's process has ended."""
-        for leg in self.legs.established(self.desk.ident):
+    def process_started(self, since_ms: float) -> None:
+        """Cut the calls of the process before the one that started then (Unix milliseconds), as the list tells.
+
+        The list may be seconds late: a call on a connection opened after the start is one of the new process.
+        """
+        started_at = asyncio.get_running_loop().time() - (time.time() - since_ms / MS_PER_SECOND)
+        self.cut([leg for leg in self.established() if leg.is_on_connection_before(started_at)], "restarted")
+
+    def cut(self, legs: list[Leg], why: str) -> None:
+        """End established calls and release them at the server as well, whose process may be alive after all."""
+        for leg in legs:
             self.context.calls_cut[why] += 1
+            self.release(leg.attempt, CAUSE_CUT)
             self.legs.end(leg, Outcome(Status.RESET, cause=CAUSE_CUT))
 
+    def established(self) -> list[Leg]:
+        """Return the calls established at the server."""
+        return self.legs.established(self.desk.ident)
+
     def expect_state(self, connection: Connection) -> asyncio.Future[None]:
         """Return what is done once the server has reported its state on a new connection."""
         return self.unreported.setdefault(connection, asyncio.get_running_loop().create_future())
@@ -158,7 +171,7 @@
 
     def has_established(self) -> bool:
         """Whether the server has established calls."""
-        return bool(self.legs.established(self.desk.ident))
+        return bool(self.established())
 
     def lost(self, connection: Connection) -> None:
         """Remove a connection and end its unanswered set-ups."""
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -52,7 +52,7 @@
         if link is None:
             link = self.links[desk.ident] = Link(desk, self.context)
         elif desk.since_ms != link.desk.since_ms:
-            link.cut_established("restarted")  # the server's process was restarted, which cut its calls
+            link.process_started(desk.since_ms)
         link.desk = desk
         if desk.availability != Availability.READY:
             link.fail_waiting()  # a connection that opens late must not carry set-ups to a draining server
--- a/seamlb/desks/sip.py
+++ b/seamlb/desks/sip.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import secrets
+import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from seamlb import log
 from seamlb.net.address import split_address
@@ -25,6 +26,7 @@
 FAILURE_STATUSES = {"connect": Status.CONNECT_FAILED, "lost": Status.RESET, "timeout": Status.TIMEOUT}
 ALLOWED = ("ACK", "BYE", "OPTIONS")
 CAUSE_CUT, CAUSE_NORMAL = 41, 16  # Q.850: temporary failure, normal call clearing
+MS_PER_SECOND = 1000.0
 MAX_UDP_REQUEST = 1300  # bytes; larger requests are sent over TCP (18.1.1)
 
 
@@ -40,6 +42,7 @@
     provisional: bool = False  # a provisional response was received: a CANCEL may be sent (9.1)
     wanted: bool = True  # False: cancelled, released or reported as ended
     dialog: Dialog | None = None
+    reached_at: float = field(default_factory=time.time)  # Unix seconds: the set-up was sent, then answered
 
 
 class SipDesks:
@@ -64,16 +67,27 @@
     # -- called by the core -------------------------------------------------------------------
 
     def desk_changed(self, desk: Desk) -> None:
-        """Update a desk of the list, and cut the calls of one that was removed, restarted or has moved."""
+        """Update a desk of the list, and cut the calls of one that was removed, restarted or has moved.
+
+        The list may be seconds late: what has reached a desk after its restart is at the new process, and stays.
+        """
         old = self.desks.pop(desk.ident, None)
         if desk.availability != Availability.GONE:
             self.desks[desk.ident] = desk
-        changed = old and (desk.availability == Availability.GONE or old.since_ms != desk.since_ms)
-        if changed or (old and old.address != desk.address):
-            for key, leg in list(self.legs.items()):
-                if key[0] == desk.ident:  # another host or process has taken its place
-                    self._remove(leg)
-                    leg.notify(leg.attempt.leg, Outcome(Status.RESET, cause=CAUSE_CUT))
+        if old is None or old == desk:
+            return
+        is_replaced = desk.availability == Availability.GONE or old.address != desk.address
+        is_restarted = old.since_ms != desk.since_ms
+        for leg in [leg for key, leg in self.legs.items() if key[0] == desk.ident]:
+            if is_replaced or (is_restarted and leg.reached_at * MS_PER_SECOND < desk.since_ms):
+                self._cut(leg)
+
+    def _cut(self, leg: Leg) -> None:
+        """End a call whose desk was removed, restarted or has moved, and release it there if it is established."""
+        self._remove(leg)
+        if leg.dialog:
+            self._bye(leg, leg.dialog, CAUSE_CUT)
+        leg.notify(leg.attempt.leg, Outcome(Status.RESET, cause=CAUSE_CUT))
 
     def set_up(self, attempt: Attempt, notify: AttemptCallback) -> None:
         """Start an attempt; `notify` gets at most one Answer and then exactly one Outcome."""
@@ -177,7 +191,7 @@
             # The answer crossed the CANCEL, or a second phone answered: it is released and never passed on.
             self._bye(leg, dialog, CAUSE_NORMAL)
             return
-        leg.dialog = dialog
+        leg.dialog, leg.reached_at = dialog, time.time()
         self.dialogs[dialog.key] = leg
         leg.notify(leg.attempt.leg, Answer(message.body))
 
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -50,7 +50,7 @@
         self.write_timeout = write_timeout
         self.message_timeout = MESSAGE_TIMEOUT
         self.reason: CloseReason | None = None
-        self.last_read = asyncio.get_running_loop().time()
+        self.opened_at = self.last_read = asyncio.get_running_loop().time()
         self.trust = 0  # 1: a complete message was received; 2: raised by the user of the connection
         self.linger_reason: CloseReason | None = None  # set by `lingering_close`: incoming data is discarded
         self.in_use: Callable[[], bool] = lambda: False  # whether closing now would interrupt something
--- a/tests/vanishing.py
+++ b/tests/vanishing.py
@@ -49,6 +49,14 @@
             peer.writer.transport.resume_reading()
         self.accepting = asyncio.create_task(self._accept())
 
+    def restart(self, resets: bool = True) -> None:
+        """Run a new process, with its host back if it had vanished; it resets the connections from before or none."""
+        self.accepting.cancel()
+        former, self.peers = self.peers, []
+        for peer in former if resets else ():
+            peer.reset()
+        self.wake()
+
     def vanish(self, accepted_last: int = 0) -> None:
         """Cut the host off without a word; its kernel still accepts `accepted_last` (0 or 1) connections."""
         self.hang()
