--- a/seamlb/desks/connection_manager.py
+++ b/seamlb/desks/connection_manager.py
@@ -97,7 +97,8 @@
 
     def _close_unused(self) -> bool:
         """Close one connection without set-ups; False if all have some, which will time out and free a connection."""
-        unused = (one for one in self.link.connections if not self.link.legs.unanswered(one))
+        spare = [one for one in self.link.connections if not self.link.is_witness(one)]
+        unused = (one for one in spare if not self.link.legs.unanswered(one))
         connection = next((one for one in unused if not (one.in_use() or one.has_unread_data())), None)
         if connection is None:
             return False
@@ -115,6 +116,8 @@
         silent = now - newest.last_read
         if silent <= SETUP_SILENCE:
             return False
+        if self.link.is_unanswering(newest):
+            return not newest.has_unread_data()
         overdue = any(now - leg.sent_at > SETUP_SILENCE for leg in self.link.legs.unanswered(newest))
         silent_with_calls = silent > CALL_SILENCE and self.link.has_established()
         return (overdue or silent_with_calls) and not newest.has_unread_data()
@@ -126,10 +129,13 @@
         if belief == self.liveness.belief:
             return
         self.liveness.belief = belief
+        self._log_state(why, calls_cut)
+
+    def _log_state(self, why: str, calls_cut: int) -> None:
         log.event(
             "server_state",
             desk=self.link.desk.ident,
-            state=belief.value,
+            state=self.liveness.belief.value,
             why=why,
             silent_s=round(self.loop.time() - self.liveness.last_sign, 3),
             calls_cut=calls_cut,
@@ -149,8 +155,13 @@
         for connection in self.link.connections[:]:
             if now - connection.last_read <= SETUP_SILENCE or connection.has_unread_data():
                 continue
-            # Also silent: the host is down, cut off or hangs. Close it rather than wait for its set-ups to time out.
-            if self.link.legs.unanswered(connection):
+            if not self.link.legs.unanswered(connection):
+                continue
+            # Also silent: the host is down, cut off or hangs. Its set-ups need not wait until they time out. One
+            # connection stays open for the established calls: only there can their process show that it lives.
+            if self.link.has_established() and connection is self.link.connections[-1]:
+                self.link.cancel_set_ups(connection)
+            else:
                 connection.close(CloseReason.SILENT)
         if ended:
             self._give_up("refused")
@@ -165,6 +176,14 @@
             self.pinged_at = now
             connection.send(ping().encode())
 
+    def test_witnesses(self) -> None:
+        """Ask on the connections from before an outage whether their process lives."""
+        if not self.link.has_established():
+            self.liveness.unproven.clear()
+        for connection in self.link.connections:
+            if self.link.is_witness(connection):
+                connection.send(ping().encode())
+
     def _give_up(self, why: str) -> None:
         """The server has ended: close what is open to it, and cut its calls.
 
@@ -176,12 +195,26 @@
                 connection.close(CloseReason.SILENT)
         self.link.cut(self.link.established(), why)
 
+    def _cut_unproven(self, now: float) -> None:
+        """Cut the calls from before an outage whose process has not shown that it outlived it."""
+        for outage in self.liveness.overdue(now):
+            witnesses = [one for one in self.link.connections if one.opened_at <= outage.noticed_at]
+            if any(one.has_unread_data() for one in witnesses):
+                continue
+            legs = [leg for leg in self.link.established() if leg.is_on_connection_before(outage.noticed_at)]
+            self.liveness.forget(outage)
+            if legs:
+                self._log_state("replaced", len(legs))
+            self.link.cut(legs, "replaced")
+            for connection in witnesses:
+                connection.close(CloseReason.SILENT)
+
     # -- the deadline for the release of calls ---------------------------------------------------
 
     def watch_calls(self) -> None:
         """Set the deadline after which the established calls of a server that has vanished are cut."""
         if self.cut_timer is None:
-            self.cut_timer = self.loop.call_at(self.liveness.cut_due, self._cut_due, GRACE_TURNS)
+            self.cut_timer = self.loop.call_at(self.liveness.next_due, self._cut_due, GRACE_TURNS)
 
     def _cut_due(self, turns: int) -> None:
         """Cut the calls, unless there was a sign of life; bytes that have arrived reach their readers first."""
@@ -189,11 +222,13 @@
         self.cut_timer = None
         if self.link.removed or not self.link.has_established():
             return
-        if now < self.liveness.cut_due:
-            self.watch_calls()
-        elif turns:
+        if now < self.liveness.next_due:
+            return self.watch_calls()
+        if turns:
             self.cut_timer = self.loop.call_soon(self._cut_due, turns - 1)
-        elif not self.liveness.has_vanished(now) or any(one.has_unread_data() for one in self.link.connections):
-            self.cut_timer = self.loop.call_later(RECHECK, self._cut_due, GRACE_TURNS)
-        else:
+            return
+        self._cut_unproven(now)
+        if self.liveness.has_vanished(now) and not any(one.has_unread_data() for one in self.link.connections):
             self._give_up("vanished")
+        else:
+            self.cut_timer = self.loop.call_later(RECHECK, self._cut_due, GRACE_TURNS)
--- a/seamlb/desks/link.py
+++ b/seamlb/desks/link.py
@@ -11,7 +11,7 @@
 from seamlb.desks.connection_manager import CALL_SILENCE, ConnectionManager
 from seamlb.desks.legs import Leg, LegTable
 from seamlb.desks.liveness import Belief
-from seamlb.desks.requests import bye, invite
+from seamlb.desks.requests import bye, invite, request
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connection import Connection
 from seamlb.protocol.sip import Message
@@ -59,6 +59,7 @@
         self.unreported: dict[Connection, asyncio.Future[None]] = {}  # connections that wait for the first state
         self.waiting: list[Leg] = []  # set-ups without a connection
         self.releases: list[bytes] = []  # sent on the next connection
+        self.unanswering: dict[Connection, float] = {}  # given up for set-ups while `last_read` stays at this time
         self.reports_state = False  # the server has reported its state, and must do so on each new connection
         self.removed = False
         self.manager = ConnectionManager(self)
@@ -79,7 +80,7 @@
         """Send a set-up, queue it until there is a connection, or end it if the server is unreachable."""
         self.legs.add(leg)
         usable = self.usable_connection()
-        if usable and not (self.unreachable and leg.sent_at - usable.last_read > CALL_SILENCE):
+        if usable and not self._is_suspect(usable, leg.sent_at):
             self._invite(leg, usable)
         elif self.unreachable or self.context.closing:
             self.legs.end(leg, Outcome(Status.CONNECT_FAILED))
@@ -91,7 +92,8 @@
         """Send a release, now or on the next connection."""
         data = bye(attempt, cause).encode()
         connection = self.usable_connection()
-        if connection is None or not connection.send(data):
+        is_sent = connection is not None and connection.send(data)
+        if connection is None or not is_sent or self.is_unanswering(connection):
             self.releases.append(data)
             self.wakeup.set()
 
@@ -101,7 +103,7 @@
         A release is sent only once, so one that is interrupted here would be lost.
         """
         for connection in self.connections[:-1]:
-            if not self.legs.unanswered(connection) and connection.is_idle(0.0):
+            if not self.legs.unanswered(connection) and connection.is_idle(0.0) and not self.is_witness(connection):
                 connection.close(reason)
 
     def drop(self, why: str) -> None:
@@ -140,6 +142,32 @@
         """Return the calls established at the server."""
         return self.legs.established(self.desk.ident)
 
+    def is_witness(self, connection: Connection) -> bool:
+        """Whether the connection is kept as it may prove that established calls have outlived an outage.
+
+        That is the newest one from before it; the others can be closed, as only some may be open at once.
+        """
+        is_witness = self.manager.liveness.is_witness
+        if not is_witness(connection.opened_at) or not self.has_established():
+            return False
+        return connection is next(one for one in reversed(self.connections) if is_witness(one.opened_at))
+
+    def cancel_set_ups(self, connection: Connection) -> None:
+        """Cancel the unanswered set-ups of a silent connection, which gets no more of them until it is heard."""
+        self.unanswering[connection] = connection.last_read
+        for leg in self.legs.unanswered(connection):
+            connection.send(request("CANCEL", leg.attempt).encode())
+            self.legs.end(leg, Outcome(Status.RESET))
+
+    def is_unanswering(self, connection: Connection) -> bool:
+        """Whether set-ups were cancelled on the connection and nothing has arrived on it since."""
+        return self.unanswering.get(connection) == connection.last_read
+
+    def _is_suspect(self, connection: Connection, now: float) -> bool:
+        """Whether the connection is not to be used for set-ups."""
+        silent_for = now - connection.last_read
+        return self.is_unanswering(connection) or (self.unreachable and silent_for > CALL_SILENCE)
+
     def expect_state(self, connection: Connection) -> asyncio.Future[None]:
         """Return what is done once the server has reported its state on a new connection."""
         return self.unreported.setdefault(connection, asyncio.get_running_loop().create_future())
@@ -157,9 +185,11 @@
 
     # -- called by the reader (ReaderOwner) ---------------------------------------------------
 
-    def heard(self) -> None:
-        """Record that bytes have arrived, on whatever connection."""
-        self.manager.liveness.sign_of_life(asyncio.get_running_loop().time())
+    def heard(self, connection: Connection) -> None:
+        """Record that bytes have arrived on a connection."""
+        now = asyncio.get_running_loop().time()
+        if self.manager.liveness.sign_of_life(now, connection.opened_at):
+            self.manager.test_witnesses()
 
     def received(self, connection: Connection, message: Message) -> None:
         """Handle a complete message."""
@@ -176,6 +206,7 @@
     def lost(self, connection: Connection) -> None:
         """Remove a connection and end its unanswered set-ups."""
         self.unreported.pop(connection, None)
+        self.unanswering.pop(connection, None)
         if connection in self.connections:
             self.connections.remove(connection)
         if not self.context.closing:
@@ -209,7 +240,7 @@
         Their set-ups would otherwise wait for their timeouts while the server answers on another connection.
         """
         for connection in self.connections[:]:
-            if connection.last_read < reported_at - STATE_SPREAD and not (
-                connection.in_use() or connection.has_unread_data()
-            ):
+            is_stalled = connection.last_read < reported_at - STATE_SPREAD
+            is_needed = connection.in_use() or connection.has_unread_data() or self.is_witness(connection)
+            if is_stalled and not is_needed:
                 connection.close(CloseReason.SILENT)
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -184,6 +184,8 @@
             return self.on_unknown_release(key[1], cause, confirm)
         confirm()
         if leg := self.legs.get(key):
+            if leg.connection and (link := self.links.get(key[0])):
+                link.manager.liveness.same_process(leg.connection.opened_at)
             # Also before the answer: the call was established there and has ended, and its answer is late or lost.
             status = Status.OK if cause == CAUSE_NORMAL else Status.RESET
             self.legs.end(leg, Outcome(status, 0, self._report(message), cause))
--- a/seamlb/desks/reader.py
+++ b/seamlb/desks/reader.py
@@ -18,7 +18,7 @@
 class ReaderOwner(Protocol):
     """Receives the messages and events of a reader."""
 
-    def heard(self) -> None:
+    def heard(self, connection: Connection) -> None:
         """Handle the arrival of bytes: a sign of life."""
 
     def received(self, connection: Connection, message: Message) -> None:
@@ -53,7 +53,7 @@
             self.owner.lost(self.connection)
 
     def _received(self, data: bytes) -> None:
-        self.owner.heard()
+        self.owner.heard(self.connection)
         messages = self.framer.feed_and_dispatch(data, self._message, self._malformed)
         self.connection.messages_read(messages, bool(self.framer.data))
 
@@ -81,7 +81,7 @@
 
     def _salvage(self, data: bytes) -> None:
         """Find releases of established calls in unframed data: the server sends each release only once."""
-        self.owner.heard()
+        self.owner.heard(self.connection)
         self.residual.extend(data)
         for message in find_byes(bytes(self.residual)):
             self.owner.salvaged(message)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -31,6 +31,41 @@
     assert CUT_AFTER > CUT_OFF
 
 
+# Review case 3: the new process of a host that had vanished was a sign of life of the one before.
+@pytest.mark.parametrize("back_after", [2.5, 4.0, 5.0, 6.0, 7.0, 7.1])
+def test_the_calls_of_a_server_that_vanished_and_is_back_are_released_in_time(back_after: float) -> None:
+    liveness = Liveness(0.0)
+    liveness.accepted(FIRST_TEST)  # the last thing that its kernel does
+    liveness.attempt_failed(FIRST_TEST + RETRY_MIN, back_after, back_after)
+    liveness.accepted(back_after)
+    for now in (back_after, back_after + 0.2, back_after + 0.4):
+        liveness.sign_of_life(now, opened_at=back_after)
+        assert liveness.next_due + RECHECK + PREFERENCE_WAIT < RELEASE_WITHIN
+    assert liveness.is_witness(opened_at=FIRST_TEST) and not liveness.is_witness(opened_at=back_after)
+
+
+def test_a_byte_on_a_connection_from_before_an_outage_keeps_its_calls() -> None:
+    liveness = Liveness(0.0)
+    liveness.attempt_failed(1.0, 2.5, 2.5)
+    assert liveness.sign_of_life(3.0, opened_at=2.9)
+    liveness.attempt_failed(4.0, 5.5, 5.5)
+    assert liveness.sign_of_life(6.0, opened_at=5.9)
+    liveness.sign_of_life(6.1, opened_at=2.9)  # it outlived the second outage only
+    assert [outage.noticed_at for outage in liveness.overdue(100.0)] == [1.0]
+    assert not liveness.sign_of_life(6.2, opened_at=0.0)
+    assert liveness.next_due == 6.2 + CUT_AFTER
+
+
+def test_an_attempt_that_failed_while_the_server_was_heard_or_accepted_others_is_no_outage() -> None:
+    liveness = Liveness(0.0)
+    liveness.sign_of_life(2.0, opened_at=0.0)
+    liveness.attempt_failed(1.0, 2.5, 2.5)
+    liveness.accepted(4.0)
+    liveness.attempt_failed(3.0, 4.5, 4.5)
+    assert not liveness.sign_of_life(5.0, opened_at=4.0)
+    assert liveness.next_due == 5.0 + CUT_AFTER
+
+
 @connect_times
 def test_an_attempt_has_failed_by_the_deadline_of_a_vanished_server(connect_time: float) -> None:
     attempt = max(connect_time, MIN_PATIENCE)
--- a/tests/test_restarted_servers.py
+++ b/tests/test_restarted_servers.py
@@ -5,11 +5,14 @@
 
 from seamlb import api
 from seamlb.daemon import Daemon
+from seamlb.desks.liveness import RELEASE_WITHIN
 from seamlb.protocol.sip import Message
 from tests.loopback import DaemonTestCase, Peer, bye, invite
 from tests.sip_peers import SipCaller, SipTestCase
 from tests.vanishing import VanishingDesk
 
+GONE = 5.0  # seconds for which a machine is gone on the operators' days
+SET_UP_EVERY = 0.2  # seconds
 SLACK = 0.05  # seconds by which each promised time is longer (protocol)
 RELEASED_BOTH_SIDES = 1.0 + SLACK  # seconds from a caller's release to its server's
 FORMER, LATTER = "00000000000000a1", "00000000000000a2"
@@ -37,6 +40,31 @@
         entry = self.desk(0, desk.address, since=started_at * 1000.0)
         daemon.agent.list_changed(api.Scope.DELTA, [entry])
 
+    async def send_set_ups(self, daemon: Daemon) -> None:
+        caller = await Peer.connect(f"127.0.0.1:{daemon.front.listener.port}")
+        self.addCleanup(caller.close)
+        for number in range(int(GONE / SET_UP_EVERY)):
+            caller.send(invite(f"{number:015x}b", timer=2000))
+            await asyncio.sleep(SET_UP_EVERY)
+
+    async def seconds_to_release(self, with_set_ups: bool, resets: bool) -> float:
+        """Seconds from when a host vanishes, to return with another process, to the release of a call's caller."""
+        desk, daemon, caller = await self.established_call()
+        vanished_at = asyncio.get_running_loop().time()
+        desk.vanish()
+        await (self.send_set_ups(daemon) if with_set_ups else asyncio.sleep(GONE))
+        desk.restart(resets)
+        self.assertIn("cause=41", (await caller.until("BYE")).get("reason"))
+        return asyncio.get_running_loop().time() - vanished_at
+
+    # Review case 3: the new process was taken for the one before, so only the list, seconds late, ended its calls.
+    async def test_calls_of_a_host_that_returns_with_another_process_are_released_in_time(self) -> None:
+        courses = [(with_set_ups, resets) for with_set_ups in (False, True) for resets in (False, True)]
+        async with asyncio.TaskGroup() as group:
+            playing = {course: group.create_task(self.seconds_to_release(*course)) for course in courses}
+        late = {course: task.result() for course, task in playing.items() if task.result() > RELEASE_WITHIN + SLACK}
+        self.assertEqual(late, {})
+
     # Review case 3: the late word of a restart cut the calls of the new process too, and told their callers only.
     async def test_late_word_of_a_restart_ends_the_calls_from_before_it_only_and_on_both_sides(self) -> None:
         desk, daemon, former = await self.established_call()
