Look for merged messages only in heads that name the version outside Via

The result is the same: each start line names the version, and in a Via header a slash stands behind it.

--- a/seamlb/protocol/framing.py
+++ b/seamlb/protocol/framing.py
@@ -63,8 +63,10 @@
 
     The result may parse without an error, with the status of the first message and the Call-ID of the second.
     """
-    own_start = len(STATUS_LINE_START) if head.startswith(STATUS_LINE_START) else head.find(b"\r\n")
-    return own_start >= 0 and START_LINE.search(head, own_start) is not None
+    first_end = len(STATUS_LINE_START) if head.startswith(STATUS_LINE_START) else head.find(b"\r\n")
+    if first_end < 0 or head.count(b"SIP/2.0", first_end) == head.count(b"SIP/2.0/", first_end):
+        return False  # the version stands in Via headers only; the search below takes longer
+    return START_LINE.search(head, first_end) is not None
 
 
 def find_byes(data: bytes) -> list[Message]:
