--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
@@ -43,7 +44,7 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
 
-async def case(record: Record, folder: Path, agents: list[Agent]) -> int:
+async def case(record: Record, folder: Path, agents: list[Any]) -> int:
     """Does the agent stay within its memory, so that the usual callers' calls are answered?"""
     desk, board = PlatformDesk(record, "desk-a", delay=2.0, agents=400), Board(record)
     await desk.start()
@@ -68,6 +69,7 @@
     command = [sys.executable, str(Path(__file__).resolve().parent.parent / "bad_clients_2.py"), agent.listen]
     command += [str(BAD_CLIENTS // 2), str(BAD_FOR_S)]
     clients = [subprocess.Popen(command) for _ in range(2 if TROUBLE else 0)]
+    agents += clients  # ended with the others in any event
     sent: dict[str, float] = {}
     peak, killed, steps, began = 0, False, 0, record.now()
     while True:
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -664,9 +664,9 @@
         await asyncio.sleep(0.01)
 
 
-def main(file: str, case: Callable[[Record, Path, list[Agent]], Awaitable[int]]) -> None:
-    """Run a case and exit with its code; processes that it started are ended in any event."""
-    record, agents = Record(Path(file).resolve().parent), list[Agent]()
+def main(file: str, case: Callable[[Record, Path, list[Any]], Awaitable[int]]) -> None:
+    """Run a case and exit with its code; what it has put into its list is killed in any event."""
+    record, agents = Record(Path(file).resolve().parent), list[Any]()
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     record.add("case", f"TROUBLE={int(TROUBLE)}")
 
