Free what an ended connection or call held at once, not at a later garbage collection

Cause: an ended Connection, its stream, its client and their callbacks formed reference cycles, so up to 256 KB of read buffer and a partial message each waited for a garbage collection, which comes by the number of objects. The same for a front's call with its session, and for a SIP transaction with its callbacks.

Fix: callbacks, the last read and the frames of a stream's error are dropped as a connection, call or transaction ends; a stream reads 16 KiB at a time, as much as a turn takes, and may hold 64 KiB unread.

--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -199,7 +199,12 @@
         call.session = self.agent.accept(request, call)
         if call.session:
             self.calls[ident] = call
-            call.session.on_closed = lambda: self.calls.pop(ident, None)
+            call.session.on_closed = lambda: self._call_ended(call)
+
+    def _call_ended(self, call: Call) -> None:
+        """Forget a call; it and its session would otherwise keep each other in memory."""
+        call.session = None
+        self.calls.pop(call.ident, None)
 
     def _mark_reused(self, ident: str) -> None:
         """Refuse a Call-ID that was used twice from now on: rule 5 would bar it, its answers would be ambiguous."""
--- a/seamlb/fronts/sip.py
+++ b/seamlb/fronts/sip.py
@@ -130,6 +130,10 @@
             endpoint.use_connection(target.address, self.flow.connection)
         endpoint.request(bye, target, lambda answer: None, lambda how: log.event("no_bye", call=ident, how=how))
 
+    def session_ended(self) -> None:
+        """Forget the session; it and the call would otherwise keep each other in memory."""
+        self.session = None
+
     def end_dialog(self) -> None:
         """End the dialog after the caller has released the call, or cannot be reached."""
         if self.timer:
@@ -270,6 +274,8 @@
             return call.respond(400, ("Warning", f'399 seamlb "{error}"'))
         self.pending[entry.key] = call
         call.session = self.agent.accept(request, call)
+        if call.session:
+            call.session.on_closed = call.session_ended
 
     def _parse_request(self, message: Message, ident: str, transport: str) -> Request:
         config, settings = self.config, self.agent.settings
--- a/seamlb/net/connecting.py
+++ b/seamlb/net/connecting.py
@@ -11,7 +11,7 @@
 from seamlb import log
 from seamlb.net.address import address_family, split_address
 from seamlb.net.close_reason import CloseReason
-from seamlb.net.connection import MAX_UNSENT, READ_CHUNK, Connection, next_ident
+from seamlb.net.connection import MAX_UNREAD, MAX_UNSENT, READ_PER_TURN, Connection, next_ident
 
 REASONS: dict[int | None, CloseReason] = {  # by error number; PEER_RESET for all others
     errno.ECONNREFUSED: CloseReason.REFUSED,
@@ -35,7 +35,9 @@
         sock = socket.socket(address_family(host))
     except OSError:  # no descriptor is left
         raise _failed(ident, kind, address, CloseReason.LIMIT) from None
-    stream = IOStream(sock, max_buffer_size=4 * READ_CHUNK, max_write_buffer_size=MAX_UNSENT)
+    stream = IOStream(
+        sock, max_buffer_size=MAX_UNREAD, max_write_buffer_size=MAX_UNSENT, read_chunk_size=READ_PER_TURN
+    )
     try:
         async with asyncio.timeout(timeout):
             await stream.connect((host, port))
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -13,8 +13,8 @@
 from seamlb import log
 from seamlb.net.close_reason import CloseReason
 
-READ_CHUNK = 64 * 1024  # bytes
 READ_PER_TURN = 16 * 1024  # bytes read from a connection before others are served, so that a flood starves none
+MAX_UNREAD = 4 * READ_PER_TURN  # bytes that a stream may hold before `run` takes them
 MAX_UNSENT = 1024 * 1024  # bytes
 MAX_UNSENT_CLIENT = 128 * 1024  # bytes per caller: hundreds of callers may all stop reading
 WRITE_TIMEOUT = 5.0  # seconds
@@ -32,6 +32,14 @@
 _numbers = itertools.count(1)
 
 
+def _is_never_in_use() -> bool:
+    return False
+
+
+def _ignore_data(data: bytes) -> None:
+    """Discard data received while lingering."""
+
+
 def next_ident() -> str:
     """Return the id of a new connection in the log: unique in this process."""
     return f"c{next(_numbers)}"
@@ -53,9 +61,9 @@
         self.opened_at = self.last_read = asyncio.get_running_loop().time()
         self.trust = 0  # 1: a complete message was received; 2: raised by the user of the connection
         self.linger_reason: CloseReason | None = None  # set by `lingering_close`: incoming data is discarded
-        self.in_use: Callable[[], bool] = lambda: False  # whether closing now would interrupt something
-        self.on_message_timeout: Callable[[], object] = lambda: self.close(CloseReason.SLOW)
-        self.on_residual_data: Callable[[bytes], object] = lambda data: None  # data received while lingering
+        self.in_use: Callable[[], bool] = _is_never_in_use  # whether closing now would interrupt something
+        self.on_message_timeout: Callable[[], object] | None = None  # instead of closing the connection
+        self.on_residual_data: Callable[[bytes], object] = _ignore_data  # data received while lingering
         self.linger_time = LINGER_TIME
         self._discarded = 0
         self._timer: asyncio.Handle | None = None  # message timeout, later the end of the lingering
@@ -121,8 +129,10 @@
         """Wait a few turns before the timeout: after a pause of this process the rest may be there unread."""
         if turns:
             self._timer = asyncio.get_running_loop().call_soon(self._message_expired, turns - 1)
-        else:
+        elif self.on_message_timeout:
             self.on_message_timeout()
+        else:
+            self.close(CloseReason.SLOW)
 
     def messages_read(self, messages: int, partial: bool) -> None:
         """Record that this many messages were just completed; `partial` starts the timer of an incomplete one."""
@@ -159,8 +169,17 @@
         except Exception as error:  # an exception in a handler ends this connection, never the process
             log.event("fault", where=self.kind, error=repr(error), trace=log.trace(error))
             self.close(CloseReason.ERROR)
+        finally:
+            self._break_reference_cycles()
         return self.reason or CloseReason.ERROR
 
+    def _break_reference_cycles(self) -> None:
+        """Let an ended connection be freed at once: garbage collections come by number of objects, not by bytes."""
+        self.in_use, self.on_message_timeout, self.on_residual_data = _is_never_in_use, None, _ignore_data
+        self._pending_read = self._last_write = None
+        if self.stream.error:
+            self.stream.error.__traceback__ = None  # its frames refer to the stream
+
     def send(self, data: bytes, on_written: Callable[[], None] | None = None) -> bool:
         """Queue bytes and return False if the connection has ended; `on_written` is called after the last byte."""
         if self.closed:
--- a/seamlb/net/listener.py
+++ b/seamlb/net/listener.py
@@ -12,7 +12,7 @@
 
 from seamlb.net.address import address_family, split_address
 from seamlb.net.close_reason import CloseReason
-from seamlb.net.connection import MAX_UNSENT, READ_CHUNK, Connection
+from seamlb.net.connection import MAX_UNREAD, MAX_UNSENT, READ_PER_TURN, Connection
 
 
 class Listener(TCPServer):
@@ -21,7 +21,7 @@
     def __init__(
         self, kind: str, limit: int, handler: Callable[[Connection], Any], max_unsent: int = MAX_UNSENT
     ) -> None:
-        super().__init__(max_buffer_size=4 * READ_CHUNK)
+        super().__init__(max_buffer_size=MAX_UNREAD, read_chunk_size=READ_PER_TURN)
         self.kind = kind
         self.limit = limit
         self.handler = handler
@@ -66,7 +66,9 @@
 
     def _take(self, connection: socket.socket, address: Any) -> None:
         connection.setblocking(False)
-        handling = self.handle_stream(IOStream(connection, max_buffer_size=self.max_buffer_size), address)
+        handling = self.handle_stream(
+            IOStream(connection, max_buffer_size=MAX_UNREAD, read_chunk_size=READ_PER_TURN), address
+        )
         if handling is not None:
             task = asyncio.ensure_future(handling)
             self._tasks.add(task)
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -79,6 +79,19 @@
     timer: asyncio.TimerHandle | None = None
     connection: Connection | None = None
 
+    def break_reference_cycles(self) -> None:
+        """Let an ended transaction be freed at once: its callbacks refer to it and to the call that it is part of."""
+        self.send = self.on_message = _ignore_message
+        self.on_failure = _ignore_failure
+
+
+def _ignore_message(message: Message) -> None:
+    """Neither send nor deliver a message of a transaction that has ended."""
+
+
+def _ignore_failure(cause: str) -> None:
+    """Report no failure of a transaction that has ended."""
+
 
 @dataclass(slots=True)
 class TcpRoute:
@@ -249,6 +262,7 @@
         if entry.machine.terminated:
             if table.get(entry.key) is entry:
                 del table[entry.key]
+            entry.break_reference_cycles()
         elif entry.machine.timers and not self.closing:
             loop = asyncio.get_running_loop()
             entry.timer = loop.call_at(entry.machine.due, self._timer_fired, entry)
@@ -338,9 +352,10 @@
         )
 
         def on_error(cause: str) -> None:
+            on_failure = entry.on_failure
             if machine.fail():
                 self._update_timer(entry)
-                entry.on_failure(cause)
+                on_failure(cause)
 
         entry.connection = flow.connection
         self.incoming[key] = entry
