Keep a connection whose message stalls while other set-ups on it are open

Cause: the timeout of a message closed its connection without asking whether it was in use, and an unreadable message ended it at once. Both count as given up by the callers, so the attempts were cancelled.

Fix: the timeout of a connection in use starts again; a connection that can't be read discards its input, answers what is open and ends with the last answer.

--- a/seamlb/fronts/calls.py
+++ b/seamlb/fronts/calls.py
@@ -38,7 +38,9 @@
 
     def _send_final(self, message: Message) -> bool:
         self.client.unanswered.pop(self.ident, None)
-        return self.client.connection.send(message.encode())
+        is_sent = self.client.connection.send(message.encode())
+        self.front.end_if_answered(self.client)
+        return is_sent
 
     def established(self, description: bytes) -> bool:
         """Answer 200 with the desk's session description; False if the connection has ended."""
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -145,11 +145,17 @@
         if request:
             client.connection.send(response(request, error.status).encode())
         if error.fatal or not request:  # without a response, closing the connection tells the caller
+            client.connection.input_ended = True
+            self.end_if_answered(client)
+
+    def end_if_answered(self, client: Client) -> None:
+        """End a connection whose input can no longer be parsed, unless a set-up on it waits for its answer."""
+        if client.connection.input_ended and not client.connection.closed and not client.unanswered:
             client.connection.lingering_close(CloseReason.MALFORMED)
             self._disconnected(client)
 
     def _request(self, client: Client, message: Message) -> None:
-        if client.connection.closed:
+        if client.connection.closed or client.connection.input_ended:
             return  # arrived together with a message that ended the connection
         ident = message.get("call-id")
         call = self.calls.get(ident)
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -19,7 +19,8 @@
 MAX_UNSENT_CLIENT = 128 * 1024  # bytes per caller: hundreds of callers may all stop reading
 WRITE_TIMEOUT = 5.0  # seconds
 # Seconds from accept to the first complete message, and from the first byte of a later message to its last: a caller
-# that sends nothing or never completes a message must be gone within 3 s. Between messages it may stay idle.
+# that sends nothing or never completes a message must be gone within 3 s. Between messages it may stay idle, and a
+# connection that is in use ends later, so that what is open on it gets its answer.
 MESSAGE_TIMEOUT = 2.0
 GRACE_TURNS = 3  # event loop turns after the timeout in which data that has already arrived reaches its reader
 # After a refusal that ends a connection, incoming data is discarded for a while: closing a socket with unread data
@@ -61,6 +62,7 @@
         self.opened_at = self.last_read = asyncio.get_running_loop().time()
         self.trust = 0  # 1: a complete message was received; 2: raised by the user of the connection
         self.linger_reason: CloseReason | None = None  # set by `lingering_close`: incoming data is discarded
+        self.input_ended = False  # incoming data is discarded, and only what is open is still answered
         self.in_use: Callable[[], bool] = _is_never_in_use  # whether closing now would interrupt something
         self.on_message_timeout: Callable[[], object] | None = None  # instead of closing the connection
         self.on_residual_data: Callable[[bytes], object] = _ignore_data  # data received while lingering
@@ -127,10 +129,13 @@
 
     def _message_expired(self, turns: int) -> None:
         """Wait a few turns before the timeout: after a pause of this process the rest may be there unread."""
+        loop = asyncio.get_running_loop()
         if turns:
-            self._timer = asyncio.get_running_loop().call_soon(self._message_expired, turns - 1)
+            self._timer = loop.call_soon(self._message_expired, turns - 1)
         elif self.on_message_timeout:
             self.on_message_timeout()
+        elif self.in_use():
+            self._timer = loop.call_later(self.message_timeout, self._message_expired, GRACE_TURNS)
         else:
             self.close(CloseReason.SLOW)
 
@@ -150,7 +155,7 @@
                 self._pending_read = asyncio.ensure_future(self.stream.read_bytes(READ_PER_TURN, partial=True))
                 data = await self._pending_read
                 self._pending_read = None
-                if self.linger_reason:
+                if self.linger_reason or self.input_ended:
                     self.on_residual_data(data)
                     await self._discard(len(data))
                 else:
