Keep a release until it is confirmed, and tell it on another connection if one is quiet

Cause: a release was kept by the connection that it was written to, for 1 s, and was looked at again only as that ended.

Fix: ReleaseQueue owns a release until it is confirmed on a connection that carried it, 8 s at most; unconfirmed for 0.4 s it goes out on another connection, four at most. As the 200 is free by PROTOCOL, a connection that never carried one and is heard after a release counts as having told it. A BYE over TCP of the SIP endpoint is repeated once on a new connection, without a response for 0.4 s or as its connection ends.

--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -4,27 +4,23 @@
 
 import asyncio
 import math
-import re
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from seamlb import log
-from seamlb.fronts.call_parameters import InvalidCallError, parse_parameters, parse_timeout
+from seamlb.fronts.call_parameters import InvalidCallError
 from seamlb.fronts.calls import Call, Client
 from seamlb.fronts.releases import PREFERENCE_WAIT, Release, ReleaseQueue, ReleaseSender
+from seamlb.fronts.set_ups import parse_set_up
 from seamlb.lifecycle import Lifecycle, Phase
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connection import MAX_UNSENT_CLIENT, Connection
 from seamlb.net.event_loop_lag import EventLoopLag
 from seamlb.net.listener import Listener
-from seamlb.protocol.sip import MAX_MESSAGE_BYTES, Message, SipError, is_decimal, parameter, response
+from seamlb.protocol.sip import Message, SipError, is_decimal, parameter, response
 from seamlb.routing.agent import Agent
-from seamlb.routing.model import Request
 
 ALLOW = ("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
 CAUSE_NORMAL = 16  # Q.850: normal call clearing
-CALL_ID = re.compile(r"[0-9A-Fa-f]{16}")  # PROTOCOL: a Call-ID is 16 hex digits
-NUMBER = re.compile(r"[0-9A-Za-z+*#._-]{1,64}")  # forwarded to desks unchanged
-MAX_BODY = MAX_MESSAGE_BYTES - 1024  # bytes; the rest is for the headers that are added
 MAX_REUSED_IDS = 1024  # Call-IDs remembered because they were used twice
 
 
@@ -41,6 +37,7 @@
         self.reused_ids: dict[str, None] = {}
         self.releases = ReleaseQueue()
         self.release_senders: dict[Connection, ReleaseSender] = {}
+        self.resend_timer: asyncio.TimerHandle | None = None
         self.lag: EventLoopLag | None = None
         self.on_disconnect: Callable[[], None] = lambda: None  # called when a caller connection has ended
 
@@ -79,14 +76,17 @@
         self.listener.stop()
         if self.lag:
             self.lag.stop()
+        if self.resend_timer:
+            self.resend_timer.cancel()
         for client in list(self.clients):
             client.connection.flush_and_close(CloseReason.SHUTDOWN)
 
     def release(self, ident: str, cause: int, preferred: Client | None = None) -> None:
         """Send a release to callers: on the preferred connection, another one, or the next that becomes usable."""
         release = Release.of(ident, cause)
-        if preferred is None or not preferred.release_sender.send(release):
+        if preferred is None or not self.releases.send(release, preferred.release_sender):
             self._queue(release)
+        self._start_resend_timer()
 
     def release_unknown_call(self, ident: str, cause: int, on_sent: Callable[[], object]) -> None:
         """Send the release of a call of an earlier process; `on_sent` is called after it was sent to a caller."""
@@ -95,6 +95,10 @@
     def _queue(self, release: Release) -> None:
         """Send a release on any caller connection, now or as soon as there is one."""
         self.releases.pending.append(release)
+        self._flush_soon()
+
+    def _flush_soon(self) -> None:
+        """Send the waiting releases now, and again once they may use any connection."""
         self.flush()
         if self.releases.pending:
             asyncio.get_running_loop().call_later(PREFERENCE_WAIT, self.flush)
@@ -104,9 +108,26 @@
 
         A process that ends does not wait for better connections.
         """
-        senders = (self.release_senders.get(one) for one in reversed(self.listener.connections))
         ends = self.lifecycle.phase in (Phase.DRAINING, Phase.ENDED)
-        self.releases.flush((one for one in senders if one is not None), immediately=ends)
+        if self.releases.pending:
+            self.releases.flush(self._senders(), immediately=ends)
+            self._start_resend_timer()
+
+    def _senders(self) -> Iterator[ReleaseSender]:
+        """Yield the open connections, the latest used first."""
+        senders = (self.release_senders.get(one) for one in reversed(self.listener.connections))
+        return (one for one in senders if one is not None)
+
+    def _start_resend_timer(self) -> None:
+        due = self.releases.next_due
+        if due is not None and self.resend_timer is None:
+            self.resend_timer = asyncio.get_running_loop().call_at(due, self._resend_releases)
+
+    def _resend_releases(self) -> None:
+        """Send releases that were not confirmed on other connections: theirs may be quiet yet open."""
+        self.resend_timer = None
+        self.releases.resend_overdue(self._senders())
+        self._start_resend_timer()
 
     async def _serve(self, connection: Connection) -> None:
         client = Client(connection, ReleaseSender(connection))
@@ -135,8 +156,8 @@
             self._caller_left(call, CAUSE_NORMAL)
         client.unanswered.clear()
         self.release_senders.pop(client.connection, None)
-        for release in client.release_sender.take_unconfirmed():
-            self._queue(release)
+        self.releases.connection_ended(client.release_sender)
+        self._flush_soon()
         self.on_disconnect()
 
     def _malformed(self, client: Client, error: SipError) -> None:
@@ -168,7 +189,7 @@
                 client.release_sender.acked = True
                 self.flush()
             case "":
-                client.release_sender.confirm(ident)
+                self.releases.confirm(ident, client.release_sender)
             case "CANCEL":
                 if own_call and client.unanswered.pop(ident, None):  # a caller that cancels expects no answer
                     self._caller_left(own_call, CAUSE_NORMAL)
@@ -197,7 +218,8 @@
             return
         call = Call(self, client, message, ident)
         try:
-            request = self._parse_request(message, ident, client.connection.ident)
+            lag_ms = self.lag.ms() if self.lag else 0.0
+            request = parse_set_up(message, self.agent.settings, lag_ms, client.connection.ident)
         except InvalidCallError as error:
             client.connection.send(response(message, 400, ("Warning", f'399 seamlb "{error}"')).encode())
             return
@@ -217,39 +239,3 @@
         self.reused_ids[ident] = None
         while len(self.reused_ids) > MAX_REUSED_IDS:
             del self.reused_ids[next(iter(self.reused_ids))]
-
-    def _parse_request(self, message: Message, ident: str, connection: str = "") -> Request:
-        settings = self.agent.settings
-        name = message.get("x-cos")
-        if name not in settings.class_ids:
-            raise InvalidCallError("unknown class")
-        if not CALL_ID.fullmatch(ident):
-            raise InvalidCallError("Call-ID is not 16 hex digits")
-        tenant = message.get("x-operator")
-        if tenant and settings.tenant_ids and tenant not in settings.tenant_ids:
-            raise InvalidCallError("unknown tenant")
-        scheme, _, rest = message.uri.partition(":")
-        number = rest.partition("@")[0]
-        if scheme.lower() not in ("sip", "sips") or not NUMBER.fullmatch(number):
-            raise InvalidCallError("not a SIP address")
-        if len(message.body) > MAX_BODY:
-            raise InvalidCallError("the description is too long")
-        call_class = settings.classes[settings.class_ids[name]]
-        parameters = parse_parameters(message.get("x-legs"), call_class)
-        return Request(
-            ident=ident,
-            call_class=settings.class_ids[name],
-            class_name=name,
-            tenant=settings.tenant_ids.get(tenant, 0),
-            tenant_name=tenant,
-            number=number,
-            patience_ms=parse_timeout(message.get("x-timer-ms"), call_class, "X-Timer-Ms"),
-            destination=parameters.destination,
-            slots=parameters.slots,
-            via=parameters.via,
-            cut_before=parameters.cut_before,
-            description=message.body,
-            # The caller's time runs from when it sent the request: a stall of this process must not extend it.
-            sent_ms_ago=self.lag.ms() if self.lag else 0.0,
-            connection=connection,
-        )
--- a/seamlb/fronts/releases.py
+++ b/seamlb/fronts/releases.py
@@ -12,7 +12,10 @@
 
 MAX_PENDING = 4096  # releases that wait for a connection
 RELEASE_DEADLINE = 1.0  # seconds from the end of a call in which its caller has to get the release
+RELEASE_LIMIT = 8.0  # seconds from the end of a call after which its release is of no use to its caller
 PREFERENCE_WAIT = 0.5  # seconds a release waits for a connection with a served caller, within RELEASE_DEADLINE
+RESEND_AFTER = 0.4  # seconds without a confirmation until a release is sent on another connection
+MAX_SENDS = 4  # connections on which one release is sent
 SERVED, ASKED = 2, 1  # `Connection.trust`: a call was set up on it, or only a complete message was received
 TIMER_SLACK = 0.01  # seconds a timer may fire early
 
@@ -42,13 +45,29 @@
         return cls(asyncio.get_running_loop().time(), ident, message.encode(), on_sent)
 
 
+@dataclass(slots=True, eq=False)
+class UnconfirmedRelease:
+    """A release that was sent and that its caller has not confirmed."""
+
+    release: Release
+    sent_at: float  # loop time of the latest send in seconds
+    sent_on: list[ReleaseSender] = field(default_factory=list)
+
+    @property
+    def is_told(self) -> bool:
+        """Whether its connection was heard since then and never carried a confirmation: it needs no other one."""
+        latest = self.sent_on[-1]
+        return not latest.confirms and latest.connection.last_read > self.sent_at
+
+
 @dataclass(slots=True, eq=False)
 class ReleaseSender:
     """A caller connection and the releases sent on it that were not confirmed."""
 
     connection: Connection
-    unconfirmed: dict[str, Release] = field(default_factory=dict)
+    unconfirmed: dict[str, UnconfirmedRelease] = field(default_factory=dict)
     acked: bool = True  # False while an answer on it has no ACK: its caller may not be reading
+    confirms: bool = False  # a release was confirmed on it: one that is not confirmed has not arrived
 
     def answered(self) -> None:
         """Record that a call was set up on this connection."""
@@ -57,35 +76,57 @@
 
     def send(self, release: Release) -> bool:
         """Send a release; False if the connection has ended on either side."""
-        if self.connection.has_ended() or not self.connection.send(release.data):
-            return False
-        self._drop_expired()
-        self.unconfirmed[release.ident] = release
-        release.on_sent()
-        return True
-
-    def confirm(self, ident: str) -> None:
-        """Record that the caller has confirmed a release."""
-        self.unconfirmed.pop(ident, None)
+        return not self.connection.has_ended() and self.connection.send(release.data)
 
-    def take_unconfirmed(self) -> list[Release]:
-        """Return the latest unconfirmed releases of a connection that has ended; sending them twice is harmless."""
-        self._drop_expired()
-        unconfirmed = [replace(one, on_sent=lambda: None) for one in self.unconfirmed.values()]
-        self.unconfirmed.clear()
-        return unconfirmed
-
-    def _drop_expired(self) -> None:
-        oldest = asyncio.get_running_loop().time() - RELEASE_DEADLINE
-        while self.unconfirmed and next(iter(self.unconfirmed.values())).ended_at < oldest:
-            del self.unconfirmed[next(iter(self.unconfirmed))]
+    def drop_expired(self, now: float) -> None:
+        """Forget the releases that are of no use any more, the oldest first."""
+        while self.unconfirmed:
+            ident, oldest = next(iter(self.unconfirmed.items()))
+            if now < oldest.release.ended_at + RELEASE_LIMIT:
+                return
+            del self.unconfirmed[ident]
 
 
 class ReleaseQueue:
-    """Releases that wait for a caller connection."""
+    """Releases that wait for a caller connection, and those that were sent and are not confirmed.
+
+    A release is kept until its caller confirms it. Until then it goes out on other connections: at once as its
+    connection ends, and after RESEND_AFTER as a connection may be quiet yet open. Confirmations are optional
+    (PROTOCOL), so a connection that is heard after a release and never carried one counts as having told it.
+    """
 
     def __init__(self) -> None:
         self.pending: deque[Release] = deque(maxlen=MAX_PENDING)
+        self.unconfirmed: dict[str, UnconfirmedRelease] = {}  # by Call-ID, the one sent longest ago first
+
+    def send(self, release: Release, sender: ReleaseSender) -> bool:
+        """Send a release on a connection for the first time; False if that has ended."""
+        if not sender.send(release):
+            return False
+        self._record(UnconfirmedRelease(release, 0.0), sender)
+        release.on_sent()
+        return True
+
+    def confirm(self, ident: str, sender: ReleaseSender) -> None:
+        """Record that the caller on this connection has confirmed a release that was sent on it."""
+        sender.confirms = True
+        if ident in sender.unconfirmed:
+            self._forget(sender.unconfirmed[ident])
+
+    def connection_ended(self, sender: ReleaseSender) -> None:
+        """Let the releases that were sent last on this connection wait for another; two of one call are harmless."""
+        now = asyncio.get_running_loop().time()
+        for ident, unconfirmed in list(sender.unconfirmed.items()):
+            if unconfirmed.sent_on[-1] is not sender:
+                continue
+            is_owed = (
+                self.unconfirmed.get(ident) is unconfirmed and now < unconfirmed.release.ended_at + RELEASE_LIMIT
+            )
+            # One that counts as told may have crossed the end of its connection.
+            if is_owed or now < unconfirmed.release.ended_at + RELEASE_DEADLINE:
+                self.pending.append(replace(unconfirmed.release, on_sent=_ignore))
+            self._forget(unconfirmed)
+        sender.unconfirmed.clear()
 
     def flush(self, senders: Iterable[ReleaseSender], immediately: bool = False) -> None:
         """Send the waiting releases on these connections, preferring those on which a call was set up.
@@ -102,6 +143,48 @@
         while self.pending:
             release = self.pending[0]
             wait = not immediately and now - release.ended_at < PREFERENCE_WAIT - TIMER_SLACK
-            if not any(one.send(release) for one in (served if wait else usable)):
+            if not any(self.send(release, one) for one in (served if wait else usable)):
                 return
             self.pending.popleft()
+
+    @property
+    def next_due(self) -> float | None:
+        """When a release is overdue for its confirmation, in loop time; None if none was sent."""
+        return next((one.sent_at + RESEND_AFTER for one in self.unconfirmed.values()), None)
+
+    def resend_overdue(self, senders: Iterable[ReleaseSender]) -> None:
+        """Send each overdue release on a connection that it was not sent on yet, the best first."""
+        now = asyncio.get_running_loop().time()
+        usable = [one for one in senders if one.connection.trust >= ASKED]
+        usable.sort(key=lambda one: (one.acked, one.connection.trust, one.connection.last_read), reverse=True)
+        while self.unconfirmed:
+            ident, overdue = next(iter(self.unconfirmed.items()))
+            if overdue.sent_at + RESEND_AFTER > now + TIMER_SLACK:
+                return
+            del self.unconfirmed[ident]
+            is_useful = len(overdue.sent_on) < MAX_SENDS and now < overdue.release.ended_at + RELEASE_LIMIT
+            if is_useful and not overdue.is_told:
+                others = (one for one in usable if one not in overdue.sent_on)
+                self._record(overdue, next((one for one in others if one.send(overdue.release)), None))
+
+    def _record(self, unconfirmed: UnconfirmedRelease, sender: ReleaseSender | None) -> None:
+        """Remember a release as sent now on `sender`, or as not sent again as there was no connection."""
+        unconfirmed.sent_at = asyncio.get_running_loop().time()
+        ident = unconfirmed.release.ident
+        self.unconfirmed.pop(ident, None)
+        self.unconfirmed[ident] = unconfirmed
+        if sender:
+            sender.drop_expired(unconfirmed.sent_at)
+            unconfirmed.sent_on.append(sender)
+            sender.unconfirmed[ident] = unconfirmed
+
+    def _forget(self, unconfirmed: UnconfirmedRelease) -> None:
+        ident = unconfirmed.release.ident
+        for one in unconfirmed.sent_on:
+            one.unconfirmed.pop(ident, None)
+        if self.unconfirmed.get(ident) is unconfirmed:
+            del self.unconfirmed[ident]
+
+
+def _ignore() -> None:
+    """Report no second sending of a release."""
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -29,6 +29,7 @@
     NonInviteClient,
     NonInviteServer,
     Send,
+    State,
     client_key,
     sent_by,
     server_key,
@@ -36,6 +37,7 @@
 
 CONNECT_TIMEOUT_S = 0.5
 IDLE_TIMEOUT_S = 600.0  # TCP connections that receive no data for this long are closed
+RESEND_AFTER_S = 0.4  # without a response, a BYE over TCP is repeated on a new connection; 1 s is promised
 MAX_TRANSACTIONS = 4096  # incoming; each is kept for up to 32 s, and further requests are answered with 503
 
 Address = tuple[str, int]
@@ -78,11 +80,17 @@
     on_failure: Callable[[str], None]
     timer: asyncio.TimerHandle | None = None
     connection: Connection | None = None
+    resend: Callable[[], None] | None = None  # sends a BYE over TCP on a new connection, once
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether no final response was sent or received."""
+        return self.machine.state in (State.TRYING, State.PROCEEDING)
 
     def break_reference_cycles(self) -> None:
         """Let an ended transaction be freed at once: its callbacks refer to it and to the call that it is part of."""
         self.send = self.on_message = _ignore_message
-        self.on_failure = _ignore_failure
+        self.on_failure, self.resend = _ignore_failure, None
 
 
 def _ignore_message(message: Message) -> None:
@@ -200,8 +208,27 @@
         self._apply(entry, machine.start(self._now()))
         if not reliable:
             on_sent()
+        elif message.method == "BYE":
+            entry.resend = lambda: self._send_on_new_connection(entry, target, message.encode())
+            asyncio.get_running_loop().call_later(RESEND_AFTER_S, self._resend, entry)
         return entry
 
+    def _resend(self, entry: TransactionEntry) -> None:
+        """Repeat a BYE without a response on a new connection, but only once: its own may be quiet yet open."""
+        resend, entry.resend = entry.resend, None
+        if resend and entry.is_unanswered and not self.closing:
+            resend()
+
+    def _send_on_new_connection(self, entry: TransactionEntry, target: Target, data: bytes) -> None:
+        def on_error(cause: str) -> None:
+            if entry.connection is None or entry.connection.closed:
+                self._apply(entry, entry.machine.fail())
+
+        def on_connection(connection: Connection) -> None:
+            entry.connection = connection
+
+        self._start_task(self._connect(target.address, TcpRoute(waiting=[(data, on_error, on_connection)])))
+
     def respond(self, entry: TransactionEntry, message: Message) -> None:
         """Sends a response in the transaction of its request."""
         if isinstance(entry.machine, (InviteServer, NonInviteServer)):
@@ -292,7 +319,7 @@
         flow, framer = Flow("TCP", split_address(connection.peer), connection), Framer()
         self.connections.add(connection)
         connection.in_use = lambda: any(
-            entry.connection is connection and entry.machine.state.name in ("TRYING", "PROCEEDING")
+            entry.connection is connection and entry.is_unanswered
             for entry in (*self.incoming.values(), *self.outgoing.values())
         )
 
@@ -317,11 +344,14 @@
                 self._connection_lost(connection)
 
     def _connection_lost(self, connection: Connection) -> None:
-        """Fails our requests that wait for a response on this connection (18.4)."""
+        """Fails our requests that wait for a response on this connection (18.4), or repeats a BYE on another one."""
         for entry in list(self.outgoing.values()):
-            if entry.connection is connection:
-                effects = entry.machine.fail() if entry.machine.state.name in ("TRYING", "PROCEEDING") else []
-                self._apply(entry, effects)
+            if entry.connection is not connection or not entry.is_unanswered:
+                continue
+            if entry.resend:
+                self._resend(entry)
+            else:
+                self._apply(entry, entry.machine.fail())
 
     def _message_received(self, message: Message, flow: Flow) -> None:
         if message.status:
@@ -383,7 +413,8 @@
             connection = await connect("{}:{}".format(*address), self.kind, CONNECT_TIMEOUT_S)
         except ConnectError:
             waiting, route.waiting = route.waiting, []
-            self.tcp_routes.pop(address, None)
+            if self.tcp_routes.get(address) is route:
+                del self.tcp_routes[address]
             for _, on_error, _ in waiting:
                 on_error("connect")
             return
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -8,8 +8,9 @@
 from seamlb.desks.liveness import ACCEPT_AGE, CUT_AFTER, RELEASE_WITHIN, Liveness
 from seamlb.discovery.polls import CONNECT_MARGIN, POLL_WAIT, RETRY_MAX, SILENCE_MARGIN
 from seamlb.drain import UPDATE_INTERVAL_S
-from seamlb.fronts.releases import PREFERENCE_WAIT, RELEASE_DEADLINE
+from seamlb.fronts.releases import PREFERENCE_WAIT, RELEASE_DEADLINE, RESEND_AFTER
 from seamlb.lifecycle import Lifecycle
+from seamlb.sip.endpoint import RESEND_AFTER_S
 from seamlb.net.tasks import END_WITHIN
 
 LOOK = SETUP_SILENCE / 2  # the longest time between two looks at a server's connections
@@ -92,7 +93,8 @@
 
 
 def test_a_release_is_passed_on_in_time() -> None:
-    assert PREFERENCE_WAIT < RELEASE_DEADLINE
+    assert PREFERENCE_WAIT + RESEND_AFTER < RELEASE_DEADLINE  # its first connection may be quiet
+    assert RESEND_AFTER_S < RELEASE_DEADLINE
 
 
 def test_a_change_in_discovery_is_known_in_time() -> None:
