Send no further copy of an INVITE whose attempt has ended

Cause: without a provisional response no CANCEL may be sent, so an ended attempt was only forgotten, and its client transaction repeated the INVITE for up to 32 s, to whatever process was at the address. Over TCP an INVITE that waited for a connection was sent as that came up. A ringing attempt was not cancelled at a desk that the list removed or restarted.

Fix: SipDesks._give_up ends the wire's side of an attempt: a CANCEL if one is allowed, else no further copy. The transaction stays for late responses.

--- a/seamlb/desks/sip.py
+++ b/seamlb/desks/sip.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from seamlb import log
+from seamlb.desks.sip_requests import build_cancel, build_invite
 from seamlb.net.address import split_address
 from seamlb.protocol.dialog import Dialog
 from seamlb.protocol.report import DIAGNOSES, parse_load_report
@@ -85,10 +86,12 @@
                 self._cut(leg)
 
     def _cut(self, leg: Leg) -> None:
-        """End a call whose desk was removed, restarted or has moved, and release it there if it is established."""
+        """End a call whose desk was removed, restarted or has moved, and release or cancel it there."""
         self._remove(leg)
         if leg.dialog:
             self._bye(leg, leg.dialog, CAUSE_CUT)
+        else:
+            self._give_up(leg)
         leg.notify(leg.attempt.leg, Outcome(Status.RESET, cause=CAUSE_CUT))
 
     def set_up(self, attempt: Attempt, notify: AttemptCallback) -> None:
@@ -98,10 +101,10 @@
             return notify(attempt.leg, Outcome(Status.CONNECT_FAILED))
         request = attempt.request
         target = Target(self.transport, split_address(desk.address))
-        message = self._invite(attempt, target, desk)
+        message = build_invite(self.endpoint, attempt, target, desk)
         if len(message.encode()) > MAX_UDP_REQUEST and "TCP" in self.endpoint.addresses and target.transport == "UDP":
             target = Target("TCP", target.address)
-            message = self._invite(attempt, target, desk)
+            message = build_invite(self.endpoint, attempt, target, desk)
         leg = Leg(attempt, notify, message, target)
         self.legs[attempt.desk, request.ident] = leg
         leg.entry = self.endpoint.request(
@@ -117,8 +120,14 @@
         leg = self.legs.pop((attempt.desk, attempt.request.ident), None)
         if leg:
             leg.wanted = False
-            if leg.provisional:
-                self._cancel(leg)
+            self._give_up(leg)
+
+    def _give_up(self, leg: Leg) -> None:
+        """Cancel the INVITE of an ended attempt, or send no further copy of it where 9.1 allows no CANCEL yet."""
+        if leg.provisional:
+            self._cancel(leg)
+        elif leg.entry:
+            self.endpoint.abandon(leg.entry)
 
     def release(self, attempt: Attempt, cause: int) -> None:
         """Release an established call, without further notification."""
@@ -137,29 +146,8 @@
 
     # -- messages -----------------------------------------------------------------------------
 
-    def _invite(self, attempt: Attempt, target: Target, desk: Desk) -> Message:
-        request = attempt.request
-        headers = [
-            ("Via", self.endpoint.via(target.transport)),
-            ("Max-Forwards", "70"),
-            ("From", f"<sip:seamlb@{self.endpoint.addresses[target.transport]}>;tag={secrets.token_hex(6)}"),
-            ("To", f"<sip:{request.number}@{desk.address}>"),
-            ("Call-ID", secrets.token_hex(12)),
-            ("CSeq", "1 INVITE"),
-            ("Contact", self.endpoint.contact(target.transport)),
-            ("X-Cos", request.class_name),
-            ("X-Timer-Ms", str(max(1, int(attempt.timeout_ms)))),
-        ]
-        if request.description:
-            headers.append(("Content-Type", request.description_type))
-        uri = f"sip:{request.number}@{desk.address}"
-        return Message("INVITE", uri, headers=headers, body=request.description)
-
     def _cancel(self, leg: Leg) -> None:
-        """Send a CANCEL with the headers that 9.1 copies from the INVITE, above all its single Via."""
-        copied = [(n, v) for n, v in leg.invite.headers if n in ("Via", "Max-Forwards", "From", "To", "Call-ID")]
-        message = Message("CANCEL", leg.invite.uri, headers=[*copied, ("CSeq", "1 CANCEL")])
-        self.endpoint.request(message, leg.target, lambda answer: None, lambda how: None)
+        self.endpoint.request(build_cancel(leg.invite), leg.target, lambda answer: None, lambda how: None)
         if leg.entry:
             self.endpoint.cancel_sent(leg.entry)
 
--- a/seamlb/sip/connections.py
+++ b/seamlb/sip/connections.py
@@ -45,6 +45,7 @@
     data: bytes
     on_error: Callable[[str], None]  # gets `connect` or `lost`
     on_connection: Callable[[Connection], None]
+    is_wanted: Callable[[], bool] = lambda: True  # False: it was given up while it waited
 
 
 @dataclass(slots=True)
@@ -120,6 +121,8 @@
         route.connection = connection
         waiting, route.waiting = route.waiting, []
         for unsent in waiting:
+            if not unsent.is_wanted():
+                continue
             if connection.send(unsent.data):
                 unsent.on_connection(connection)
             else:
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -9,23 +9,13 @@
 from seamlb import log
 from seamlb.net.connection import Connection
 from seamlb.net.datagram import DatagramEndpoint
+from seamlb.protocol.client_transaction import InviteClient, NonInviteClient
+from seamlb.protocol.server_transaction import InviteServer, NonInviteServer
 from seamlb.protocol.sip import Message, SipError, parse_datagram, response
-from seamlb.protocol.transaction import (
-    MAGIC_COOKIE,
-    Deliver,
-    Effects,
-    Failed,
-    InviteClient,
-    InviteServer,
-    Key,
-    NonInviteClient,
-    NonInviteServer,
-    Send,
-    client_key,
-    server_key,
-)
+from seamlb.protocol.transaction import MAGIC_COOKIE, Key, client_key, server_key
 from seamlb.sip.addresses import Address, Flow, Target, add_source_to_via, response_target
 from seamlb.sip.connections import TcpConnections, Unsent
+from seamlb.sip.transaction_table import TransactionTable, now
 from seamlb.sip.transactions import TransactionEntry
 
 RESEND_AFTER_S = 0.4  # without a response, a BYE over TCP is repeated on a new connection; 1 s is promised
@@ -47,10 +37,9 @@
         self.kind = kind
         self.on_request: Callable[[Message, TransactionEntry, Flow], None] | None = None
         self.on_ack: Callable[[Message], None] | None = None
-        self.incoming: dict[Key, TransactionEntry] = {}
-        self.outgoing: dict[Key, TransactionEntry] = {}
-        self.unanswered: dict[Connection, set[TransactionEntry]] = {}  # by the connection that carries them
         self.tcp = TcpConnections(self, max_connections)
+        self.table = TransactionTable(self.tcp.end_if_unused)
+        self.incoming, self.outgoing = self.table.incoming, self.table.outgoing
         self.udp: DatagramEndpoint | None = None
         self.addresses: dict[str, str] = {}
         self.closing = False
@@ -70,9 +59,7 @@
     def close(self) -> None:
         """Cancels timers and tasks, and closes all sockets."""
         self.closing = True
-        for entry in (*self.incoming.values(), *self.outgoing.values()):
-            if entry.timer:
-                entry.timer.cancel()
+        self.table.close()
         self.tcp.close()
         if self.udp:
             self.udp.close()
@@ -102,17 +89,20 @@
 
         def on_error(cause: str) -> None:
             if machine.fail():
-                self._update_timer(entry)
+                self.table.update(entry)
                 on_failure(cause)
 
         def on_connection(connection: Connection) -> None:
             if entry.connection is None:  # not for the ACK of a refusal
                 on_sent()
-            self._carry(entry, connection)
+            self.table.carry(entry, connection)
 
-        entry.send = lambda outbound: self.transmit(outbound, target, on_error, on_connection)
+        def is_wanted() -> bool:
+            return not machine.terminated
+
+        entry.send = lambda outbound: self.transmit(outbound, target, on_error, on_connection, is_wanted)
         self.outgoing[entry.key] = entry
-        self._apply(entry, machine.start(self._now()))
+        self.table.apply(entry, machine.start(now()))
         if not reliable:
             on_sent()
         elif message.method == "BYE":
@@ -129,20 +119,31 @@
     def _send_on_new_connection(self, entry: TransactionEntry, address: Address, data: bytes) -> None:
         def on_error(cause: str) -> None:
             if entry.connection is None or entry.connection.closed:
-                self._apply(entry, entry.machine.fail())
+                self.table.apply(entry, entry.machine.fail())
 
-        self.tcp.send_on_new(address, Unsent(data, on_error, lambda connection: self._carry(entry, connection)))
+        self.tcp.send_on_new(address, Unsent(data, on_error, lambda connection: self.table.carry(entry, connection)))
 
     def respond(self, entry: TransactionEntry, message: Message) -> None:
         """Sends a response in the transaction of its request."""
         if isinstance(entry.machine, (InviteServer, NonInviteServer)):
-            self._apply(entry, entry.machine.respond(message, self._now()))
+            self.table.apply(entry, entry.machine.respond(message, now()))
+
+    def abandon(self, entry: TransactionEntry) -> None:
+        """Sends no further copy of an INVITE that was given up before any response, nor the first one if it waits.
+
+        Its server may have been replaced meanwhile: a copy would be new work for the process there now.
+        """
+        if isinstance(entry.machine, InviteClient):
+            entry.machine.stop_retransmitting()
+            if entry.machine.reliable and entry.connection is None:
+                entry.machine.terminate()
+            self.table.update(entry)
 
     def cancel_sent(self, entry: TransactionEntry) -> None:
         """Limits the wait for a final response after a CANCEL was sent for this INVITE."""
         if isinstance(entry.machine, InviteClient):
-            entry.machine.cancel_sent(self._now())
-            self._update_timer(entry)
+            entry.machine.cancel_sent(now())
+            self.table.update(entry)
 
     def transmit(
         self,
@@ -150,79 +151,30 @@
         target: Target,
         on_error: Callable[[str], None] = _ignore_error,
         on_connection: Callable[[Connection], None] = _ignore_connection,
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         """Sends a message; also used outside of transactions, for the ACK of a 2xx response."""
         data = message.encode()
         if target.transport == "TCP":
-            self.tcp.send(target.address, Unsent(data, on_error, on_connection))
+            self.tcp.send(target.address, Unsent(data, on_error, on_connection, is_wanted))
         elif self.udp:
             self.udp.send(data, target.address)
 
-    def _now(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def _apply(self, entry: TransactionEntry, effects: Effects) -> None:
-        for effect in effects:
-            match effect:
-                case Send(message):
-                    entry.send(message)
-                case Deliver(message):
-                    entry.on_message(message)
-                case Failed(timeout):
-                    entry.on_failure("timeout" if timeout else "lost")
-        self._update_timer(entry)
-
-    def _update_timer(self, entry: TransactionEntry) -> None:
-        """Schedules the next poll of the transaction, or removes it once it has ended."""
-        if entry.timer:
-            entry.timer.cancel()
-            entry.timer = None
-        if not entry.is_unanswered:
-            self._no_longer_unanswered(entry)
-        table = self.incoming if isinstance(entry.machine, (InviteServer, NonInviteServer)) else self.outgoing
-        if entry.machine.terminated:
-            if table.get(entry.key) is entry:
-                del table[entry.key]
-            entry.break_reference_cycles()
-        elif entry.machine.timers and not self.closing:
-            loop = asyncio.get_running_loop()
-            entry.timer = loop.call_at(entry.machine.due, self._timer_fired, entry)
-
-    def _timer_fired(self, entry: TransactionEntry) -> None:
-        entry.timer = None
-        self._apply(entry, entry.machine.poll(self._now() + 0.001))
-
-    def _carry(self, entry: TransactionEntry, connection: Connection | None) -> None:
-        """Record the connection that carries a transaction."""
-        self._no_longer_unanswered(entry)
-        entry.connection = connection
-        if connection and entry.is_unanswered:
-            self.unanswered.setdefault(connection, set()).add(entry)
-
-    def _no_longer_unanswered(self, entry: TransactionEntry) -> None:
-        connection = entry.connection
-        if connection is None or entry not in (entries := self.unanswered.get(connection, set())):
-            return
-        entries.discard(entry)
-        if not entries:
-            del self.unanswered[connection]
-            self.tcp.end_if_unused(connection)
-
     # -- called by the connections (ConnectionOwner) ------------------------------------------
 
     def is_in_use(self, connection: Connection) -> bool:
         """Whether a transaction on the connection has no final response."""
-        return connection in self.unanswered
+        return connection in self.table.unanswered
 
     def connection_lost(self, connection: Connection) -> None:
         """Fails our requests that wait for a response on this connection (18.4), or repeats a BYE on another one."""
-        for entry in list(self.unanswered.pop(connection, ())):
+        for entry in list(self.table.unanswered.pop(connection, ())):
             if entry.key not in self.outgoing:
                 continue
             if entry.resend:
                 self._resend(entry)
             else:
-                self._apply(entry, entry.machine.fail())
+                self.table.apply(entry, entry.machine.fail())
 
     def malformed(self, error: SipError, flow: Flow) -> None:
         """Logs a malformed message, and answers it if it is a request with the headers that a response needs."""
@@ -236,14 +188,14 @@
         if message.status:
             entry = self.outgoing.get(client_key(message))
             if entry and isinstance(entry.machine, (InviteClient, NonInviteClient)):
-                self._apply(entry, entry.machine.receive(message, self._now()))
+                self.table.apply(entry, entry.machine.receive(message, now()))
             return
         if not all(message.get(name) for name in ("via", "from", "to")):
             return self.malformed(SipError("Via, From or To missing", message), flow)
         key = server_key(message)
         entry = self.incoming.get(key)
         if entry and isinstance(entry.machine, (InviteServer, NonInviteServer)):
-            return self._apply(entry, entry.machine.receive(message, self._now()))
+            return self.table.apply(entry, entry.machine.receive(message, now()))
         if message.method == "ACK":
             if self.on_ack:
                 self.on_ack(message)
@@ -267,10 +219,10 @@
         def on_error(cause: str) -> None:
             on_failure = entry.on_failure
             if machine.fail():
-                self._update_timer(entry)
+                self.table.update(entry)
                 on_failure(cause)
 
-        self._carry(entry, flow.connection)
+        self.table.carry(entry, flow.connection)
         self.incoming[key] = entry
         self.on_request(message, entry, flow)
 
--- a/seamlb/sip/transactions.py
+++ b/seamlb/sip/transactions.py
@@ -7,8 +7,10 @@
 from dataclasses import dataclass
 
 from seamlb.net.connection import Connection
+from seamlb.protocol.client_transaction import InviteClient, NonInviteClient
+from seamlb.protocol.server_transaction import InviteServer, NonInviteServer
 from seamlb.protocol.sip import Message
-from seamlb.protocol.transaction import InviteClient, InviteServer, Key, NonInviteClient, NonInviteServer, State
+from seamlb.protocol.transaction import Key, State
 
 ServerTransaction = InviteServer | NonInviteServer
 ClientTransaction = InviteClient | NonInviteClient
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -174,6 +174,8 @@
         "fronts.sip",
         "desks.sip",
         "protocol.transaction",
+        "protocol.client_transaction",
+        "protocol.server_transaction",
         "protocol.dialog",
         "hook",
     )
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -18,11 +18,9 @@
     "seamlb/planning/solve.py": 330,
     "seamlb/plugins/chain.py": 333,
     "seamlb/plugins/type_checker.py": 412,
-    "seamlb/protocol/transaction.py": 294,
     "seamlb/rollout/state_machine.py": 269,
     "seamlb/rollout/controller.py": 268,
     "seamlb/rollout/supervisor.py": 351,
-    "seamlb/sip/endpoint.py": 291,
 }
 
 
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -2,21 +2,11 @@
 
 import unittest
 
+from seamlb.protocol.client_transaction import InviteClient, NonInviteClient
 from seamlb.protocol.dialog import AnswerRetransmitter, Dialog
+from seamlb.protocol.server_transaction import InviteServer, NonInviteServer
 from seamlb.protocol.sip import Message, response
-from seamlb.protocol.transaction import (
-    NEVER,
-    Deliver,
-    Failed,
-    InviteClient,
-    InviteServer,
-    NonInviteClient,
-    NonInviteServer,
-    Send,
-    State,
-    client_key,
-    server_key,
-)
+from seamlb.protocol.transaction import NEVER, Deliver, Failed, Send, State, client_key, server_key
 
 
 def request(method: str = "INVITE", branch: str = "z9hG4bK1", to: str = "<sip:b@net>") -> Message:
