--- a/seamlb/config.py
+++ b/seamlb/config.py
@@ -29,6 +29,7 @@
     measures: bool  # whether `/admin/measures` is served, for staged rollouts
     seed: int
     sockets: int
+    memory_mb: float  # `limits.memory_mb`; 0: no limit
     peer_listen: str
     peers: tuple[str, ...]
     peers_all: str
@@ -133,6 +134,7 @@
         measures=overrides.measures,
         seed=int(str(raw.get("seed", "0")), 16),
         sockets=int(limits.get("sockets", 1024)),
+        memory_mb=float(limits.get("memory_mb", 0.0)),
         peer_listen=addresses.get("peer_listen", ""),
         peers=tuple(map(str, raw.get("peers") or ())),
         peers_all=str(raw.get("peers_all") or ""),
--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -17,11 +17,12 @@
 from seamlb.fronts import management
 from seamlb.fronts.platform import PlatformFront
 from seamlb.lifecycle import Lifecycle
+from seamlb.memory import MemoryBudget, resident_bytes
 from seamlb.net import descriptors, tasks
 from seamlb.net.address import split_address
-from seamlb.optional_components import hook, sip_desks, sip_front
+from seamlb.optional_components import hook, observer, sip_desks, sip_front
 from seamlb.routing.agent import Agent, Clock
-from seamlb.routing.model import Discovery, Request
+from seamlb.routing.model import Discovery
 from seamlb.subsystems import Subsystem, build, local_rules
 from seamlb.subsystems.discovery import DiscoverySubsystem
 from seamlb.subsystems.peers import PeerSocket
@@ -48,19 +49,21 @@
         settings, clock = config.settings, Clock().now
         self.hook = hook(plugins)
         rules = local_rules(config, plugins, clock)
+        self.memory = MemoryBudget()
         self.lifecycle = Lifecycle(settings.longest_deadline / 1000.0, config.inherited is not None)
         self.agent = Agent(
             settings,
             config.seed,
             config.max_open,
             clock,
-            observe=self._observe if self.hook else None,
+            observe=observer(self.hook),
             advisor=rules.service.advisor if rules else None,
+            memory=self.memory,
         )
         self.agent.rejects_requests = lambda: not self.lifecycle.accepts_requests(asyncio.get_running_loop().time())
         self.sockets = descriptors.descriptor_limit(config.sockets)
         self.management_limit = descriptors.max_management_connections(self.sockets, management.MAX_CONNECTIONS)
-        self.front = PlatformFront(self.agent, self.lifecycle, config.listen, self._client_limit())
+        self.front = PlatformFront(self.agent, self.lifecycle, config.listen, self._client_limit(), self.memory)
         self.peers = PeerSocket(config, self.agent) if config.peer_listen and settings.limits.peers else None
         self.subsystems: list[Subsystem] = [self.peers] if self.peers else []
         self.subsystems += build(config, plugins, self.agent)
@@ -76,8 +79,8 @@
             config.management, self.lifecycle, self.stats, views, commands, self.management_limit
         )
         classify = self.hook.classify if self.hook else None
-        self.sip = sip_front(plugins, self.agent, self.lifecycle, classify)
-        self.sip_desks = sip_desks(plugins, self.agent)
+        self.sip = sip_front(plugins, self.agent, self.lifecycle, classify, self.memory)
+        self.sip_desks = sip_desks(plugins, self.agent, self.memory)
         self.platform_desks = (
             None
             if self.sip_desks
@@ -112,19 +115,6 @@
 
         self.tasks.append(asyncio.get_running_loop().create_task(repeat()))
 
-    def _observe(self, request: Request, result: str, attempts: int) -> None:
-        if self.hook:
-            self.hook.observe(
-                {
-                    "call": request.ident,
-                    "class": request.class_name,
-                    "tenant": request.tenant_name,
-                    "number": request.number,
-                    "result": result,
-                    "attempts": attempts,
-                }
-            )
-
     async def start(self) -> None:
         """Bind all addresses and start following the list of desks."""
         config = self.config
@@ -161,6 +151,7 @@
             await subsystem.on_ready()
             for seconds, where, function in subsystem.periodic_tasks():
                 self._every(seconds, where, function)
+        self.memory.set_limit(config.memory_mb, resident_bytes())
         self.lifecycle.started(loop.time())
         self._every(UPDATE_INTERVAL_S, "lifecycle", self.update_connections)
         log.event("serving", name=config.name, listen=config.listen, version=__version__)
--- a/seamlb/desks/connection_attempt.py
+++ b/seamlb/desks/connection_attempt.py
@@ -8,7 +8,8 @@
 from seamlb.desks.reader import ServerReader
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connecting import ConnectError, connect
-from seamlb.net.connection import GRACE_TURNS, Connection
+from seamlb.net.connection import Connection
+from seamlb.net.message_timer import GRACE_TURNS
 
 if TYPE_CHECKING:
     from seamlb.desks.connection_manager import ConnectionManager
--- a/seamlb/desks/connection_manager.py
+++ b/seamlb/desks/connection_manager.py
@@ -11,7 +11,7 @@
 from seamlb.desks.liveness import Belief, Liveness
 from seamlb.desks.requests import ping
 from seamlb.net.close_reason import CloseReason
-from seamlb.net.connection import GRACE_TURNS
+from seamlb.net.message_timer import GRACE_TURNS
 
 if TYPE_CHECKING:
     from seamlb.desks.link import Link
--- a/seamlb/desks/reader.py
+++ b/seamlb/desks/reader.py
@@ -41,7 +41,7 @@
         self.owner, self.connection = owner, connection
         self.framer = Framer(strict=True)
         self.residual = bytearray()  # data received after the framing was lost
-        connection.message_timeout, connection.linger_time = PARTIAL_MESSAGE_TIMEOUT, SALVAGE_TIME
+        connection.message_timeout, connection.lingering.time = PARTIAL_MESSAGE_TIMEOUT, SALVAGE_TIME
         connection.on_message_timeout = self._message_timed_out
         connection.in_use = lambda: bool(self.framer.data)  # a message is partly read
 
@@ -55,7 +55,7 @@
     def _received(self, data: bytes) -> None:
         self.owner.heard(self.connection)
         messages = self.framer.feed_and_dispatch(data, self._message, self._malformed)
-        self.connection.messages_read(messages, bool(self.framer.data))
+        self.connection.messages_read(messages, len(self.framer.data))
 
     def _message(self, message: Message) -> None:
         if not self.connection.closed:
@@ -86,4 +86,4 @@
         for message in find_byes(bytes(self.residual)):
             self.owner.salvaged(message)
         if len(self.residual) > SALVAGE_BYTES:
-            self.connection.close(self.connection.linger_reason or CloseReason.MALFORMED)
+            self.connection.close(self.connection.lingering.reason or CloseReason.MALFORMED)
--- a/seamlb/drain.py
+++ b/seamlb/drain.py
@@ -42,7 +42,8 @@
 
     def _updates_pending(self) -> bool:
         """Is there an update from a server, read or unread, to relay to callers before their connections close?"""
-        return self.agent.has_unprocessed_updates() or (self.servers is not None and self.servers.has_unread_data())
+        is_unprocessed = any(session.inbox.has_desk_update() for session in self.agent.sessions.values())
+        return is_unprocessed or (self.servers is not None and self.servers.has_unread_data())
 
     def _close_server_connections(self) -> None:
         """In a drain, close the connections to servers together with the last connection of a caller that reads.
--- a/seamlb/fronts/calls.py
+++ b/seamlb/fronts/calls.py
@@ -32,7 +32,7 @@
 
     front: PlatformFront
     client: Client
-    invite: Message
+    invite: Message  # without what no response needs
     ident: str
     session: CallSession | None = None
 
--- a/seamlb/fronts/platform.py
+++ b/seamlb/fronts/platform.py
@@ -12,11 +12,13 @@
 from seamlb.fronts.releases import PREFERENCE_WAIT, Release, ReleaseQueue, ReleaseSender
 from seamlb.fronts.set_ups import parse_set_up
 from seamlb.lifecycle import Lifecycle, Phase
+from seamlb.memory import MemoryBudget
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connection import MAX_UNSENT_CLIENT, Connection
 from seamlb.net.event_loop_lag import EventLoopLag
 from seamlb.net.listener import Listener
-from seamlb.protocol.sip import Message, SipError, is_decimal, parameter, response
+from seamlb.net.turns import MESSAGES_PER_TURN
+from seamlb.protocol.sip import Message, SipError, answerable_part, is_decimal, parameter, response
 from seamlb.routing.agent import Agent
 
 ALLOW = ("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
@@ -27,11 +29,13 @@
 class PlatformFront:
     """Accepts callers on the address given by the platform."""
 
-    def __init__(self, agent: Agent, lifecycle: Lifecycle, address: str, limit: int) -> None:
+    def __init__(
+        self, agent: Agent, lifecycle: Lifecycle, address: str, limit: int, memory: MemoryBudget | None = None
+    ) -> None:
         self.agent = agent
         self.lifecycle = lifecycle
         self.address = address
-        self.listener = Listener("client", limit, self._serve, MAX_UNSENT_CLIENT)
+        self.listener = Listener("client", limit, self._serve, MAX_UNSENT_CLIENT, memory)
         self.clients: set[Client] = set()
         self.calls: dict[str, Call] = {}
         self.reused_ids: dict[str, None] = {}
@@ -133,16 +137,20 @@
         client = Client(connection, ReleaseSender(connection))
         self.clients.add(client)
         self.release_senders[connection] = client.release_sender
-        connection.in_use = lambda: bool(client.unanswered)
+        connection.in_use = lambda: bool(client.unanswered) or client.framer.has_more
 
-        def received(data: bytes) -> None:
+        def received(data: bytes) -> bool:
             messages = client.framer.feed_and_dispatch(
-                data, lambda message: self._request(client, message), lambda error: self._malformed(client, error)
+                data,
+                lambda message: self._request(client, message),
+                lambda error: self._malformed(client, error),
+                MESSAGES_PER_TURN,
             )
-            connection.messages_read(messages, bool(client.framer.data))
+            connection.messages_read(messages, len(client.framer.data))
             if messages and not connection.closed:
                 self.listener.mark_used(connection)
                 self.flush()
+            return client.framer.has_more
 
         try:
             await connection.run(received)
@@ -216,7 +224,7 @@
                 self._caller_left(known, CAUSE_NORMAL)
             client.connection.send(response(message, 482).encode())
             return
-        call = Call(self, client, message, ident)
+        call = Call(self, client, answerable_part(message), ident)
         try:
             lag_ms = self.lag.ms() if self.lag else 0.0
             request = parse_set_up(message, self.agent.settings, lag_ms, client.connection.ident)
--- a/seamlb/fronts/sip.py
+++ b/seamlb/fronts/sip.py
@@ -8,10 +8,11 @@
 
 from seamlb import log
 from seamlb.fronts.call_parameters import InvalidCallError, parse_parameters, parse_timeout
-from seamlb.fronts.sip_calls import ALLOW, ALLOWED, CAUSE_NORMAL, Call
+from seamlb.fronts.sip_calls import ALLOW, ALLOWED, CAUSE_NORMAL, DIALOG_HEADERS, Call
 from seamlb.lifecycle import Lifecycle
+from seamlb.memory import MemoryBudget
 from seamlb.net.event_loop_lag import EventLoopLag
-from seamlb.protocol.sip import Message, is_decimal, parameter, response
+from seamlb.protocol.sip import Message, answerable_part, is_decimal, parameter, response
 from seamlb.routing.agent import Agent
 from seamlb.routing.model import Request
 from seamlb.sip.addresses import Flow
@@ -27,13 +28,18 @@
     """Accepts SIP calls for the core."""
 
     def __init__(
-        self, agent: Agent, lifecycle: Lifecycle, config: SipFrontConfig, classify: Classify | None = None
+        self,
+        agent: Agent,
+        lifecycle: Lifecycle,
+        config: SipFrontConfig,
+        classify: Classify | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.agent = agent
         self.lifecycle = lifecycle
         self.config = config
         self.classify = classify
-        self.endpoint = SipEndpoint("sip", config.connections)
+        self.endpoint = SipEndpoint("sip", config.connections, memory)
         self.endpoint.on_request = self._request
         self.endpoint.on_ack = self._ack
         self.pending: dict[tuple[str, ...], Call] = {}
@@ -144,9 +150,8 @@
             same = other.invite.get("call-id") == message.get("call-id") and other.invite.cseq() == message.cseq()
             if same and parameter(other.invite.get("from"), "tag") == from_tag:
                 return self._respond(message, entry, 482)
-        call = Call(self, message, entry, flow, secrets.token_hex(8))
+        call = Call(self, answerable_part(message, *DIALOG_HEADERS), entry, flow, secrets.token_hex(8))
         entry.on_failure = lambda how: self._answer_undelivered(call, how)
-        call.respond(100)
         try:
             request = self._parse_request(message, call.tag, flow.transport)
         except InvalidCallError as error:
@@ -155,6 +160,7 @@
         call.session = self.agent.accept(request, call)
         if call.session:
             call.session.on_closed = call.session_ended
+            call.respond(100)
 
     def _parse_request(self, message: Message, ident: str, transport: str) -> Request:
         config, settings = self.config, self.agent.settings
--- a/seamlb/fronts/sip_calls.py
+++ b/seamlb/fronts/sip_calls.py
@@ -20,6 +20,7 @@
 
 ALLOWED = ("INVITE", "ACK", "CANCEL", "BYE", "OPTIONS")
 ALLOW = ("Allow", ", ".join(ALLOWED))
+DIALOG_HEADERS = ("record-route", "contact", "content-type")  # of an INVITE, beside those that a response copies
 CAUSE_NORMAL = 16  # Q.850: normal call clearing
 
 
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -4,17 +4,22 @@
 
 import asyncio
 import itertools
-import socket
 from collections.abc import Callable
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from seamlb import log
+from seamlb.memory import MemoryBudget
 from seamlb.net.close_reason import CloseReason
+from seamlb.net.connection_memory import ConnectionMemory
+from seamlb.net.lingering import Lingering
+from seamlb.net.message_timer import MessageTimer
 from seamlb.net.socket_state import peek
+from seamlb.net.turns import Turns
 from seamlb.net.write_timer import WriteTimer
 
 READ_PER_TURN = 16 * 1024  # bytes read from a connection before others are served, so that a flood starves none
+READ_PER_TURN_CLIENT = 4 * 1024  # bytes: of a crowd, each connection holds what it has read
 MAX_UNREAD = 4 * READ_PER_TURN  # bytes that a stream may hold before `run` takes them
 MAX_UNSENT = 1024 * 1024  # bytes
 MAX_UNSENT_CLIENT = 128 * 1024  # bytes per caller: hundreds of callers may all stop reading
@@ -23,13 +28,6 @@
 # that sends nothing or never completes a message must be gone within 3 s. Between messages it may stay idle, and a
 # connection that is in use ends later, so that what is open on it gets its answer.
 MESSAGE_TIMEOUT = 2.0
-GRACE_TURNS = 3  # event loop turns after the timeout in which data that has already arrived reaches its reader
-# After a refusal that ends a connection, incoming data is discarded for a while: closing a socket with unread data
-# resets the connection, and the peer may lose the refusal.
-LINGER_TIME = 1.0  # seconds
-LINGER_BYTES = 64 * 1024 * 1024
-LINGER_PAUSE = 0.002  # seconds between discarded chunks: a flood must not take the CPU from other callers
-
 _numbers = itertools.count(1)
 
 
@@ -50,7 +48,13 @@
     """One connection; `run` passes the received bytes to its caller until the connection ends."""
 
     def __init__(
-        self, stream: IOStream, kind: str, peer: str, write_timeout: float = WRITE_TIMEOUT, ident: str = ""
+        self,
+        stream: IOStream,
+        kind: str,
+        peer: str,
+        write_timeout: float = WRITE_TIMEOUT,
+        ident: str = "",
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.ident = ident or next_ident()
         self.stream = stream
@@ -61,22 +65,24 @@
         self.reason: CloseReason | None = None
         self.opened_at = self.last_read = asyncio.get_running_loop().time()
         self.trust = 0  # 1: a complete message was received; 2: raised by the user of the connection
-        self.linger_reason: CloseReason | None = None  # set by `lingering_close`: incoming data is discarded
+        self.lingering = Lingering()
         self.input_ended = False  # incoming data is discarded, and only what is open is still answered
         self.in_use: Callable[[], bool] = _is_never_in_use  # whether closing now would interrupt something
         self.on_message_timeout: Callable[[], object] | None = None  # instead of closing the connection
         self.on_residual_data: Callable[[bytes], object] = _ignore_data  # data received while lingering
-        self.linger_time = LINGER_TIME
-        self._discarded = 0
-        self._timer: asyncio.Handle | None = None  # message timeout, later the end of the lingering
+        self.read_per_turn = READ_PER_TURN
+        self.turns = Turns()
+        self.memory = ConnectionMemory(memory or MemoryBudget())
+        self._message_timer = MessageTimer(self._message_expired)
         self._pending_read: asyncio.Future[bytes] | None = None  # the read that `run` waits for
+        self._turn: asyncio.Future[None] | None = None  # the turn that `run` waits for
         self._write_timer = WriteTimer(lambda: self.close(CloseReason.WRITE_TIMEOUT))
         stream.set_nodelay(True)
 
     @property
     def closed(self) -> bool:
         """Whether the connection has ended or is only lingering."""
-        return self.reason is not None or self.linger_reason is not None or self.stream.closed()
+        return self.reason is not None or self.lingering.reason is not None or self.stream.closed()
 
     def has_ended(self) -> bool:
         """Whether the connection is closed, or the peer has closed it and the event loop has not seen that yet.
@@ -115,49 +121,56 @@
 
     def start_message_timer(self) -> None:
         """Call `on_message_timeout` unless a complete message arrives within `message_timeout` seconds."""
-        if self._timer is None and not self.closed:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(self.message_timeout, self._message_expired, GRACE_TURNS)
+        if not self.closed:
+            self._message_timer.start(self.message_timeout)
 
-    def _message_expired(self, turns: int) -> None:
-        """Wait a few turns before the timeout: after a pause of this process the rest may be there unread."""
-        loop = asyncio.get_running_loop()
-        if turns:
-            self._timer = loop.call_soon(self._message_expired, turns - 1)
-        elif self.on_message_timeout:
+    def _message_expired(self) -> None:
+        if self.on_message_timeout:
             self.on_message_timeout()
         elif self.in_use():
-            self._timer = loop.call_later(self.message_timeout, self._message_expired, GRACE_TURNS)
+            self.start_message_timer()
         else:
             self.close(CloseReason.SLOW)
 
-    def messages_read(self, messages: int, partial: bool) -> None:
-        """Record that this many messages were just completed; `partial` starts the timer of an incomplete one."""
+    def messages_read(self, messages: int, partial: int) -> None:
+        """Record that this many messages were just completed; `partial` is the size of an incomplete one in bytes."""
         if messages:
             self.trust = max(self.trust, 1)
-            self._cancel_timer()
+            self._message_timer.cancel()
+        if self.closed:
+            return
         if partial:
             self.start_message_timer()
+        if not self.memory.set_received(partial) and not self.in_use():
+            self.close(CloseReason.OVERFLOW)
 
     async def run(self, received: Callable[[bytes], object]) -> CloseReason:
-        """Pass received bytes on until the connection ends, and return why it ended."""
+        """Pass received bytes on until the connection ends, and return why it ended.
+
+        `received` returns true if it has not processed all messages: it is called again, without data, in a later
+        turn. A peer that floods a connection waits for its turns, as others are to be served beside it.
+        """
         loop = asyncio.get_running_loop()
         try:
             while True:
-                self._pending_read = asyncio.ensure_future(self.stream.read_bytes(READ_PER_TURN, partial=True))
+                self._pending_read = asyncio.ensure_future(self.stream.read_bytes(self.read_per_turn, partial=True))
+                is_flooded = self._pending_read.done()  # there was more data than the last turn has read
                 data = await self._pending_read
                 self._pending_read = None
-                if self.linger_reason or self.input_ended:
+                if self.lingering.reason or self.input_ended:
                     self.on_residual_data(data)
-                    await self._discard(len(data))
-                else:
-                    self.last_read = loop.time()
-                    received(data)
-                    if len(data) == READ_PER_TURN:  # reading buffered data would not yield to the event loop
-                        await asyncio.sleep(0)
+                    await self.lingering.discard(len(data), self.close)
+                    continue
+                self.last_read = loop.time()
+                if is_flooded:
+                    await self._next_turn()
+                more = not self.closed and received(data)
+                while more and not self.closed:
+                    await self._next_turn()
+                    more = not self.closed and received(b"")
         except StreamClosedError as error:
             broken = isinstance(error.real_error, OSError) and error.real_error.errno != 0
-            self.close(self.linger_reason or (CloseReason.PEER_RESET if broken else CloseReason.PEER_CLOSED))
+            self.close(self.lingering.reason or (CloseReason.PEER_RESET if broken else CloseReason.PEER_CLOSED))
         except StreamBufferFullError:
             self.close(CloseReason.OVERFLOW)
         except asyncio.CancelledError:
@@ -170,6 +183,12 @@
             self._break_reference_cycles()
         return self.reason or CloseReason.ERROR
 
+    async def _next_turn(self) -> None:
+        """Wait for a further turn, or for the end of the connection."""
+        self._turn = self.turns.request()
+        await asyncio.wait((self._turn,))
+        self._turn = None
+
     def _break_reference_cycles(self) -> None:
         """Let an ended connection be freed at once: garbage collections come by number of objects, not by bytes."""
         self.in_use, self.on_message_timeout, self.on_residual_data = _is_never_in_use, None, _ignore_data
@@ -182,6 +201,9 @@
         """Queue bytes and return False if the connection has ended; `on_written` is called after the last byte."""
         if self.closed:
             return False
+        if self.stream.writing() and not self.memory.may_queue(len(data)):
+            self.close(CloseReason.OVERFLOW)
+            return False
         try:
             written = self.stream.write(data)
         except StreamClosedError:
@@ -195,6 +217,7 @@
             else:
                 written.add_done_callback(lambda done: None if done.cancelled() or done.exception() else on_written())
         if not written.done():
+            self.memory.queue(written, len(data))
             self._write_timer.watch(written, self.write_timeout)
         return True
 
@@ -208,43 +231,20 @@
 
     def lingering_close(self, reason: CloseReason) -> None:
         """Write the queued bytes, shut down our direction, and discard incoming data within limits before closing."""
-        if self.closed:
-            return
-        self.linger_reason = reason
-        self._cancel_timer()
-        flushed = self.stream.write(b"") if self.stream.writing() else None
-        if flushed:
-            flushed.add_done_callback(lambda _: self._shut_down_write())
-        else:
-            self._shut_down_write()
-
-    def _shut_down_write(self) -> None:
-        if self.linger_reason is None or self.reason is not None:
-            return
-        try:
-            self.stream.socket.shutdown(socket.SHUT_WR)
-        except OSError:
-            self.close(self.linger_reason)
-        else:
-            self._timer = asyncio.get_running_loop().call_later(self.linger_time, self.close, self.linger_reason)
-
-    async def _discard(self, size: int) -> None:
-        self._discarded += size
-        if self._discarded > LINGER_BYTES and self.linger_reason:
-            self.close(self.linger_reason)
-        else:
-            await asyncio.sleep(LINGER_PAUSE)
-
-    def _cancel_timer(self) -> None:
-        if self._timer:
-            self._timer.cancel()
-            self._timer = None
+        if not self.closed:
+            self._message_timer.cancel()
+            self.memory.set_received(0)
+            self.lingering.start(self.stream, reason, self.close)
 
     def close(self, reason: CloseReason) -> None:
         """End the connection; the first reason given is the one that is logged."""
         if self.reason is None:
             self.reason = reason
-            self._cancel_timer()
+            if self._turn:
+                self._turn.cancel()
+            self._message_timer.end()
             self._write_timer.end()
+            self.lingering.end()
             self.stream.close()
+            self.memory.end()
             log.event("connection_end", id=self.ident, kind=self.kind, peer=self.peer, reason=reason.value)
--- a/seamlb/net/listener.py
+++ b/seamlb/net/listener.py
@@ -10,18 +10,27 @@
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 
+from seamlb.memory import MemoryBudget
 from seamlb.net.address import address_family, split_address
 from seamlb.net.close_reason import CloseReason
-from seamlb.net.connection import MAX_UNREAD, MAX_UNSENT, READ_PER_TURN, Connection
+from seamlb.net.connection import MAX_UNREAD, MAX_UNSENT, READ_PER_TURN_CLIENT, Connection
+from seamlb.net.turns import Turns
 
 
 class Listener(TCPServer):
     """Accepts connections on one address; at `limit` open connections a new one replaces an idle one."""
 
     def __init__(
-        self, kind: str, limit: int, handler: Callable[[Connection], Any], max_unsent: int = MAX_UNSENT
+        self,
+        kind: str,
+        limit: int,
+        handler: Callable[[Connection], Any],
+        max_unsent: int = MAX_UNSENT,
+        memory: MemoryBudget | None = None,
     ) -> None:
-        super().__init__(max_buffer_size=MAX_UNREAD, read_chunk_size=READ_PER_TURN)
+        super().__init__(max_buffer_size=MAX_UNREAD, read_chunk_size=READ_PER_TURN_CLIENT)
+        self.memory = memory or MemoryBudget()
+        self.turns = Turns()
         self.kind = kind
         self.limit = limit
         self.handler = handler
@@ -67,7 +76,7 @@
     def _take(self, connection: socket.socket, address: Any) -> None:
         connection.setblocking(False)
         handling = self.handle_stream(
-            IOStream(connection, max_buffer_size=MAX_UNREAD, read_chunk_size=READ_PER_TURN), address
+            IOStream(connection, max_buffer_size=MAX_UNREAD, read_chunk_size=READ_PER_TURN_CLIENT), address
         )
         if handling is not None:
             task = asyncio.ensure_future(handling)
@@ -81,8 +90,10 @@
         and coroutines run after it, when the descriptors reserved for servers and discovery would already be used up.
         """
         stream.max_write_buffer_size = self.max_unsent
-        connection = Connection(stream, self.kind, f"{address[0]}:{address[1]}")
-        if len(self.connections) >= self.limit and not self._evict_idle():
+        connection = Connection(stream, self.kind, f"{address[0]}:{address[1]}", memory=self.memory)
+        connection.turns, connection.read_per_turn = self.turns, READ_PER_TURN_CLIENT
+        is_full = len(self.connections) >= self.limit or not self.memory.has_room()
+        if is_full and not self._evict_idle():
             connection.close(CloseReason.LIMIT)
             return None
         self.connections[connection] = None
@@ -117,7 +128,7 @@
         if not idle:
             return False
         # `min` returns the first of equals, which is the oldest.
-        connection = min(idle, key=lambda one: -1 if one.linger_reason else one.trust)
+        connection = min(idle, key=lambda one: -1 if one.lingering.reason else one.trust)
         del self.connections[connection]
-        connection.close(connection.linger_reason or CloseReason.EVICTED)
+        connection.close(connection.lingering.reason or CloseReason.EVICTED)
         return True
--- a/seamlb/optional_components.py
+++ b/seamlb/optional_components.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from seamlb.extras import Plugins
 from seamlb.lifecycle import Lifecycle
+from seamlb.memory import MemoryBudget
 from seamlb.routing.agent import Agent
+from seamlb.routing.model import Request
 
 if TYPE_CHECKING:
     from seamlb.desks.sip import SipDesks
@@ -23,21 +26,43 @@
     return Hook(plugins.hook)
 
 
-def sip_front(plugins: Plugins, agent: Agent, lifecycle: Lifecycle, classify: Classify | None) -> SipFront | None:
+def observer(enabled: Hook | None) -> Callable[[Request, str, int], None] | None:
+    """What tells a hook the result of each call and its number of attempts."""
+    if enabled is None:
+        return None
+
+    def observe(request: Request, result: str, attempts: int) -> None:
+        enabled.observe(
+            {
+                "call": request.ident,
+                "class": request.class_name,
+                "tenant": request.tenant_name,
+                "number": request.number,
+                "result": result,
+                "attempts": attempts,
+            }
+        )
+
+    return observe
+
+
+def sip_front(
+    plugins: Plugins, agent: Agent, lifecycle: Lifecycle, classify: Classify | None, memory: MemoryBudget
+) -> SipFront | None:
     """The SIP front, beside the platform's, if configured."""
     if plugins.sip is None:
         return None
     from seamlb.fronts.sip import SipFront
 
-    return SipFront(agent, lifecycle, plugins.sip, classify)
+    return SipFront(agent, lifecycle, plugins.sip, classify, memory)
 
 
-def sip_desks(plugins: Plugins, agent: Agent) -> SipDesks | None:
+def sip_desks(plugins: Plugins, agent: Agent, memory: MemoryBudget) -> SipDesks | None:
     """The client for SIP servers, in place of the platform's, if configured."""
     if plugins.desks is None:
         return None
     from seamlb.desks.sip import SipDesks
     from seamlb.sip.endpoint import SipEndpoint
 
-    endpoint = SipEndpoint("desk")
+    endpoint = SipEndpoint("desk", memory=memory)
     return SipDesks(endpoint, plugins.desks.transport.upper(), agent.settings.fields, agent.counters.count_relayed)
--- a/seamlb/protocol/client_transaction.py
+++ b/seamlb/protocol/client_transaction.py
@@ -10,7 +10,8 @@
     """INVITE client transaction (17.1.1) with timers A, B and D, and M of RFC 6026."""
 
     def __init__(self, request: Message, reliable: bool) -> None:
-        super().__init__(request, reliable)
+        super().__init__(reliable)
+        self.request = request
         self.interval = T1
         self.ack: Message | None = None
 
@@ -74,7 +75,8 @@
     """Client transaction of other requests (17.1.2) with timers E, F and K."""
 
     def __init__(self, request: Message, reliable: bool) -> None:
-        super().__init__(request, reliable)
+        super().__init__(reliable)
+        self.request = request
         self.interval = T1
 
     def start(self, now: float) -> Effects:
--- a/seamlb/protocol/framing.py
+++ b/seamlb/protocol/framing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Callable, Iterator
 
@@ -31,6 +32,7 @@
     b"SUBSCRIBE",
     b"UPDATE",
 )
+HEAD_END = b"\r\n\r\n"
 MIN_START_BYTES = 3  # shorter parts of a start may end a body by chance
 PARTIAL_STARTS = tuple(start[:size] for start in MESSAGE_STARTS for size in range(MIN_START_BYTES, len(start)))
 STATUS_LINE_START = b"SIP/2.0 "
@@ -97,28 +99,46 @@
         self.strict = strict  # each malformed message is a fatal error, and the bodies of requests are checked too
         self.data = bytearray()
         self.unparsed = b""
+        self.has_more = False  # `feed_and_dispatch` has stopped at its limit
+        self._searched = 0  # bytes of `data` in which no head ends
+        self._needed = 0  # bytes of the message whose head is complete; 0 if it is not
+
+    def clear(self) -> None:
+        """Drops what is buffered."""
+        self.data.clear()
+        self._searched = self._needed = 0
 
     def feed(self, data: bytes) -> None:
         """Appends bytes of the stream."""
         self.data += data
 
     def feed_and_dispatch(
-        self, data: bytes, on_message: Callable[[Message], None], on_error: Callable[[SipError], None]
+        self,
+        data: bytes,
+        on_message: Callable[[Message], None],
+        on_error: Callable[[SipError], None],
+        limit: float = math.inf,
     ) -> int:
-        """Appends bytes, passes complete messages and errors up to a fatal one on, and returns their number."""
+        """Appends bytes, passes complete messages and errors up to a fatal one on, and returns their number.
+
+        At `limit` messages it sets `has_more` and leaves the rest to the next call.
+        """
         self.feed(data)
-        count = 0
+        count, self.has_more = 0, False
         for message in self.messages():
             count += 1
             if isinstance(message, SipError):
                 if message.fatal:
-                    self.unparsed = bytes(self.data)
-                    self.data.clear()
+                    self.unparsed = bytes(self.data) if self.strict else b""
+                    self.clear()
                 on_error(message)
                 if message.fatal:
                     break
             else:
                 on_message(message)
+            if count >= limit:
+                self.has_more = bool(self.data)
+                break
         return count
 
     def messages(self) -> Iterator[Message | SipError]:
@@ -139,11 +159,16 @@
         """Removes the next message from the data, which a fatal error leaves there; None if it is incomplete."""
         while self.data.startswith(b"\r\n"):  # keep-alive (RFC 5626)
             del self.data[:2]
-        end = self.data.find(b"\r\n\r\n")
+            self._searched = 0
+        if len(self.data) < self._needed:
+            return None  # a slow body is not parsed again with each of its pieces
+        end = self.data.find(HEAD_END, max(0, self._searched - len(HEAD_END) + 1))
         if end < 0:
             if len(self.data) > self.limit:
                 raise SipError("message too large", None, 513)
+            self._searched = len(self.data)
             return None
+        self._searched = end
         message, error = self._parse_head(bytes(self.data[:end]))
         length = content_length(message)
         if length is None:
@@ -152,12 +177,14 @@
         if size > self.limit:
             raise SipError("message too large", message, 513)
         if len(self.data) < size:
+            self._needed = size
             return None
         message.body = bytes(self.data[start:size])
         is_checked = message.body and (self.strict or message.status)
         if is_checked and is_corrupt(message.body, bytes(self.data[size : size + LONGEST_START])):
             raise SipError("message starts within the body of another", message)
         del self.data[:size]
+        self._searched = self._needed = 0
         message.headers = [pair for pair in message.headers if pair[0].lower() != "content-length"]
         if error:
             raise error
@@ -170,7 +197,7 @@
         try:
             return parse_head(head), None
         except SipError as error:
-            if self.strict or error.message is None:
+            if self.strict or error.fatal or error.message is None:
                 error.fatal = True
                 raise
             return error.message, error
--- a/seamlb/protocol/server_transaction.py
+++ b/seamlb/protocol/server_transaction.py
@@ -9,8 +9,8 @@
 class InviteServer(Transaction):
     """INVITE server transaction (17.2.1) with timers G, H and I, and L of RFC 6026."""
 
-    def __init__(self, request: Message, reliable: bool) -> None:
-        super().__init__(request, reliable)
+    def __init__(self, reliable: bool) -> None:
+        super().__init__(reliable)
         self.state = State.PROCEEDING
         self.interval = T1
         self.last_response: Message | None = None
@@ -54,8 +54,8 @@
 class NonInviteServer(Transaction):
     """Server transaction of other requests (17.2.2) with timer J."""
 
-    def __init__(self, request: Message, reliable: bool) -> None:
-        super().__init__(request, reliable)
+    def __init__(self, reliable: bool) -> None:
+        super().__init__(reliable)
         self.last_response: Message | None = None
 
     def respond(self, message: Message, now: float) -> Effects:
--- a/seamlb/protocol/sip.py
+++ b/seamlb/protocol/sip.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 
 MAX_MESSAGE_BYTES = 16 * 1024
+MAX_HEADER_FIELDS = 256  # a parsed field takes some 200 bytes of memory, whatever its length
+RESPONSE_HEADERS = ("via", "from", "to", "call-id", "cseq")  # copied from a request (RFC 3261, 8.2.6)
 COMPACT_HEADERS = {
     "v": "via",
     "f": "from",
@@ -122,15 +124,24 @@
         key = name.lower()
         if key == "to" and tag and not parameter(value, "tag"):
             value = f"{value};tag={tag}"
-        if key in ("via", "from", "to", "call-id", "cseq"):
+        if key in RESPONSE_HEADERS:
             headers.append((name, value))
     return Message(status=status, reason=REASON_PHRASES.get(status, "Unknown"), headers=[*headers, *extra], body=body)
 
 
+def answerable_part(request: Message, *names: str) -> Message:
+    """Returns a request without its body and headers, but for those that a response needs and those named."""
+    kept = (*RESPONSE_HEADERS, *names)
+    headers = [(name, value) for name, value in request.headers if name.lower() in kept]
+    return Message(request.method, request.uri, headers=headers)
+
+
 def parse_head(head: bytes) -> Message:
     """Parses the start line and headers; the caller reads the body."""
     text = head.decode("utf-8", "surrogateescape").replace("\r\n ", " ").replace("\r\n\t", " ")
-    first, *lines = text.split("\r\n")
+    first, *lines = text.split("\r\n", MAX_HEADER_FIELDS + 1)
+    has_too_many = len(lines) > MAX_HEADER_FIELDS
+    del lines[MAX_HEADER_FIELDS:]
     message = Message()
     if first.startswith("SIP/2.0 "):
         code, _, message.reason = first[8:].partition(" ")
@@ -150,6 +161,8 @@
             error = error or "bad header line"
             continue
         message.headers.append((COMPACT_HEADERS.get(name.lower(), name), value.strip()))
+    if has_too_many:
+        raise SipError("too many header fields", message)
     if message.method and not first.endswith(" SIP/2.0"):
         raise SipError("unknown version", message, 505, fatal=False)
     if error:
--- a/seamlb/protocol/transaction.py
+++ b/seamlb/protocol/transaction.py
@@ -78,8 +78,7 @@
 class Transaction:
     """Base of the four transaction types: the state, and the expiry times of the timers by name."""
 
-    def __init__(self, request: Message, reliable: bool) -> None:
-        self.request = request
+    def __init__(self, reliable: bool) -> None:
         self.reliable = reliable
         self.state = State.TRYING
         self.timers: dict[str, float] = {}
--- a/seamlb/routing/agent.py
+++ b/seamlb/routing/agent.py
@@ -6,7 +6,18 @@
 from collections.abc import Callable
 
 from seamlb import api, log
-from seamlb.routing.call import Action, AttemptUpdate, CallerGone, CallSession, Overdue, Shutdown, TimedOut, hash_key
+from seamlb.memory import MemoryBudget
+from seamlb.routing.call import (
+    Action,
+    AttemptUpdate,
+    CallerGone,
+    CallSession,
+    Overdue,
+    Shutdown,
+    TimedOut,
+    call_bytes,
+    hash_key,
+)
 from seamlb.routing.core import Clock, Core
 from seamlb.routing.model import Advisor, Answer, Attempt, Caller, Outcome, Request, Steering
 
@@ -27,22 +38,24 @@
         observe: Callable[[Request, str, int], None] | None = None,
         steering: Steering | None = None,
         advisor: Advisor | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         super().__init__(settings, seed, clock, steering, advisor)
+        self.memory = memory or MemoryBudget()
         self.max_open = max_open
         self.rejects_requests: Callable[[], bool] = lambda: False  # refuses new requests late in a quiesce
         self.observe = observe
         self.measure: Callable[[str, str, float], None] | None = None  # called at each end: class, outcome, ms
         self.tasks: set[asyncio.Task[None]] = set()
-        self.accepted = 0
-        self.unanswered = 0
+        self.accepted = self.unanswered = 0
         self.idle = asyncio.Event()
         self.idle.set()
 
     def accept(self, request: Request, caller: Caller) -> CallSession | None:
-        """Accept a request and answer it through `caller`; None if refused at once (too many open, or quiescing)."""
+        """Accept a request and answer it through `caller`; None if refused: too many, no memory, or quiescing."""
         self.refresh()
-        if self.unanswered >= min(self.max_open, self.filter_chain.max_open) or self.rejects_requests():
+        is_full = self.unanswered >= min(self.max_open, self.filter_chain.max_open)
+        if is_full or self.rejects_requests() or not self.memory.admits(call_bytes(request)):
             self.counters.throttled[request.class_name] += 1
             if self.measure:
                 self.measure(request.class_name, "throttled", 0.0)
@@ -50,9 +63,10 @@
             return None
         self.accepted += 1
         self.unanswered += 1
-        accepted_at = self.clock() if self.measure else 0.0
-        session = CallSession(self.accepted, request, caller, accepted_at=accepted_at, class_name=request.class_name)
+        session = CallSession(self.accepted, request, caller, class_name=request.class_name)
+        session.accepted_at = self.clock() if self.measure else 0.0
         self.sessions[session.number] = session
+        self.memory.charge(session.held_bytes)
         self.idle.clear()
         self.tasks.add(task := asyncio.get_running_loop().create_task(self._run_session(session)))
         task.add_done_callback(self.tasks.discard)
@@ -69,13 +83,9 @@
         session.caller_gone = True
         session.inbox.put_nowait(CallerGone(cause))
 
-    def has_unprocessed_updates(self) -> bool:
-        """Is there an update from a server that a session's coroutine has not processed yet?"""
-        return any(session.inbox.has_desk_update() for session in self.sessions.values())
-
     async def _run_session(self, session: CallSession) -> None:
         """Run the session of one request from its first decision to its end."""
-        result, answer_timer = "fault", self._start_answer_timer(session)
+        result, answer_timer = "fault", session.start_answer_timer(self.settings.contract.answer_slack)
         try:
             request = original = session.request
             if self.advisor:
@@ -118,11 +128,6 @@
             answer_timer.cancel()
             self._close_session(session, result)
 
-    def _start_answer_timer(self, session: CallSession) -> asyncio.TimerHandle:
-        """Start the timer that answers the caller in time even if no decision is made."""
-        delay = session.request.patience_ms - session.request.sent_ms_ago + self.settings.contract.answer_slack / 2.0
-        return asyncio.get_running_loop().call_later(max(0.0, delay) / 1000.0, session.inbox.put_nowait, Overdue())
-
     async def _next_action(self, session: CallSession) -> Action | CallerGone:
         """The module's next decision on a call without a current attempt, unless the call ends first."""
         message = await session.inbox.decision()
@@ -142,8 +147,7 @@
         attempt = Attempt(session.request, number, desk, timeout_ms, session.start_leg(desk))
         session.attempt, session.server, session.sent_at = attempt, out.server, self.clock()
         self.open_legs[attempt.desk] += 1
-        seconds = max(0.0, timeout_ms) / 1000.0
-        timer = asyncio.get_running_loop().call_later(seconds, session.inbox.put_nowait, TimedOut(attempt.leg))
+        timer = session.start_timer(timeout_ms, TimedOut(attempt.leg))
         self.desks.set_up(attempt, lambda leg, result: session.inbox.put_nowait(AttemptUpdate(leg, result)))
         try:
             message = await session.inbox.attempt(attempt.leg)
@@ -152,12 +156,9 @@
         match message:
             case AttemptUpdate(_, result):
                 return result
-            case TimedOut():
-                self.desks.cancel(attempt)
-                return Outcome(api.Status.TIMEOUT)
-            case api.Cancel():
+            case TimedOut() | api.Cancel():
                 self.desks.cancel(attempt)
-                return Outcome(api.Status.CANCELLED)
+                return Outcome(api.Status.TIMEOUT if isinstance(message, TimedOut) else api.Status.CANCELLED)
             case CallerGone() | Shutdown():
                 self.desks.cancel(attempt)
                 self.handle(api.HungUp(session.number))
@@ -236,6 +237,7 @@
 
     def _close_session(self, session: CallSession, result: str) -> None:
         del self.sessions[session.number]
+        self.memory.charge(-session.held_bytes)
         self.filter_chain.attempt_ended(self.clock() / 1000.0, session.number, api.Status.CANCELLED)  # if not begun
         if attempt := self._clear_attempt(session):
             self._forget_if_unused(attempt.desk)
--- a/seamlb/sip/connections.py
+++ b/seamlb/sip/connections.py
@@ -7,11 +7,13 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from seamlb.memory import MemoryBudget
 from seamlb.net.address import split_address
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connecting import ConnectError, connect
-from seamlb.net.connection import Connection
+from seamlb.net.connection import MAX_UNSENT_CLIENT, Connection
 from seamlb.net.listener import Listener
+from seamlb.net.turns import MESSAGES_PER_TURN
 from seamlb.protocol.framing import Framer
 from seamlb.protocol.sip import Message, SipError
 from seamlb.sip.addresses import Address, Flow
@@ -59,8 +61,9 @@
 class TcpConnections:
     """All connections of one endpoint, and which of them leads to which address."""
 
-    def __init__(self, owner: ConnectionOwner, max_connections: int) -> None:
+    def __init__(self, owner: ConnectionOwner, max_connections: int, memory: MemoryBudget) -> None:
         self.owner = owner
+        self.memory = memory
         self.max_connections = max_connections
         self.routes: dict[Address, Route] = {}
         self.open: set[Connection] = set()
@@ -70,7 +73,7 @@
 
     def listen(self, address: str) -> str:
         """Listens on an address; returns it with the port that is bound."""
-        self.listener = Listener(self.owner.kind, self.max_connections, self._serve)
+        self.listener = Listener(self.owner.kind, self.max_connections, self._serve, MAX_UNSENT_CLIENT, self.memory)
         self.listener.bind_and_listen(address)
         self._start_task(self._close_idle())
         return f"{split_address(address)[0]}:{self.listener.port}"
@@ -132,7 +135,7 @@
     async def _serve(self, connection: Connection) -> None:
         flow, framer = Flow("TCP", split_address(connection.peer), connection), Framer()
         self.open.add(connection)
-        connection.in_use = lambda: self.owner.is_in_use(connection)
+        connection.in_use = lambda: self.owner.is_in_use(connection) or framer.has_more
 
         def malformed(error: SipError) -> None:
             self.owner.malformed(error, flow)
@@ -144,11 +147,12 @@
             if not connection.input_ended:
                 self.owner.message_received(message, flow)
 
-        def received(data: bytes) -> None:
-            count = framer.feed_and_dispatch(data, message_received, malformed)
-            connection.messages_read(count, bool(framer.data))
+        def received(data: bytes) -> bool:
+            count = framer.feed_and_dispatch(data, message_received, malformed, MESSAGES_PER_TURN)
+            connection.messages_read(count, len(framer.data))
             if count and self.listener:
                 self.listener.mark_used(connection)
+            return framer.has_more
 
         try:
             await connection.run(received)
--- a/seamlb/sip/endpoint.py
+++ b/seamlb/sip/endpoint.py
@@ -7,19 +7,21 @@
 from collections.abc import Callable
 
 from seamlb import log
+from seamlb.memory import MemoryBudget
 from seamlb.net.connection import Connection
 from seamlb.net.datagram import DatagramEndpoint
 from seamlb.protocol.client_transaction import InviteClient, NonInviteClient
 from seamlb.protocol.server_transaction import InviteServer, NonInviteServer
 from seamlb.protocol.sip import Message, SipError, parse_datagram, response
-from seamlb.protocol.transaction import MAGIC_COOKIE, Key, client_key, server_key
+from seamlb.protocol.transaction import MAGIC_COOKIE, client_key
 from seamlb.sip.addresses import Address, Flow, Target, add_source_to_via, response_target
 from seamlb.sip.connections import TcpConnections, Unsent
+from seamlb.sip.incoming import IncomingRequests
 from seamlb.sip.transaction_table import TransactionTable, now
 from seamlb.sip.transactions import TransactionEntry
 
 RESEND_AFTER_S = 0.4  # without a response, a BYE over TCP is repeated on a new connection; 1 s is promised
-MAX_TRANSACTIONS = 4096  # incoming; each is kept for up to 32 s, and further requests are answered with 503
+MAX_TRANSACTIONS = 16384  # incoming; each is kept for up to 32 s, and further INVITEs are answered with 503
 
 
 def _ignore_error(cause: str) -> None:
@@ -33,13 +35,15 @@
 class SipEndpoint:
     """Sends requests, and passes received requests to `on_request` and the ACKs of 2xx responses to `on_ack`."""
 
-    def __init__(self, kind: str, max_connections: int = 256) -> None:
+    def __init__(self, kind: str, max_connections: int = 256, memory: MemoryBudget | None = None) -> None:
         self.kind = kind
+        self.memory = memory or MemoryBudget()
         self.on_request: Callable[[Message, TransactionEntry, Flow], None] | None = None
-        self.on_ack: Callable[[Message], None] | None = None
-        self.tcp = TcpConnections(self, max_connections)
-        self.table = TransactionTable(self.tcp.end_if_unused)
+        self.on_ack: Callable[[Message], None] = lambda ack: None
+        self.tcp = TcpConnections(self, max_connections, self.memory)
+        self.table = TransactionTable(self.tcp.end_if_unused, self.memory)
         self.incoming, self.outgoing = self.table.incoming, self.table.outgoing
+        self.requests = IncomingRequests(self)
         self.udp: DatagramEndpoint | None = None
         self.addresses: dict[str, str] = {}
         self.closing = False
@@ -154,7 +158,16 @@
         is_wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         """Sends a message; also used outside of transactions, for the ACK of a 2xx response."""
-        data = message.encode()
+        self._transmit(message.encode(), target, on_error, on_connection, is_wanted)
+
+    def _transmit(
+        self,
+        data: bytes,
+        target: Target,
+        on_error: Callable[[str], None] = _ignore_error,
+        on_connection: Callable[[Connection], None] = _ignore_connection,
+        is_wanted: Callable[[], bool] = lambda: True,
+    ) -> None:
         if target.transport == "TCP":
             self.tcp.send(target.address, Unsent(data, on_error, on_connection, is_wanted))
         elif self.udp:
@@ -181,7 +194,8 @@
         log.event("malformed", kind=self.kind, peer="{}:{}".format(*flow.source), error=str(error))
         if request := error.request_to_answer():
             add_source_to_via(request, flow.source)
-            self._send_response(response(request, error.status, tag=secrets.token_hex(4)), request, flow)
+            answer = response(request, error.status, tag=secrets.token_hex(4))
+            self.send_response(answer.encode(), flow, response_target(request, flow))
 
     def message_received(self, message: Message, flow: Flow) -> None:
         """Passes a message to its transaction, or starts one for a new request."""
@@ -190,41 +204,10 @@
             if entry and isinstance(entry.machine, (InviteClient, NonInviteClient)):
                 self.table.apply(entry, entry.machine.receive(message, now()))
             return
-        if not all(message.get(name) for name in ("via", "from", "to")):
-            return self.malformed(SipError("Via, From or To missing", message), flow)
-        key = server_key(message)
-        entry = self.incoming.get(key)
-        if entry and isinstance(entry.machine, (InviteServer, NonInviteServer)):
-            return self.table.apply(entry, entry.machine.receive(message, now()))
-        if message.method == "ACK":
-            if self.on_ack:
-                self.on_ack(message)
-            return
-        add_source_to_via(message, flow.source)
-        if len(self.incoming) >= MAX_TRANSACTIONS or self.on_request is None:
-            return self._send_response(response(message, 503, tag=secrets.token_hex(4)), message, flow)
-        self._start_server_transaction(key, message, flow)
-
-    def _start_server_transaction(self, key: Key, message: Message, flow: Flow) -> None:
-        assert self.on_request is not None
-        machine = (InviteServer if message.method == "INVITE" else NonInviteServer)(message, flow.reliable)
-        entry = TransactionEntry(
-            key,
-            machine,
-            lambda outbound: self._send_response(outbound, message, flow, on_error),
-            self.on_ack or (lambda ack: None),
-            lambda cause: log.event("no_ack", kind=self.kind, call=message.get("call-id"), how=cause),
-        )
-
-        def on_error(cause: str) -> None:
-            on_failure = entry.on_failure
-            if machine.fail():
-                self.table.update(entry)
-                on_failure(cause)
-
-        self.table.carry(entry, flow.connection)
-        self.incoming[key] = entry
-        self.on_request(message, entry, flow)
+        if all(message.get(name) for name in ("via", "from", "to")):
+            self.requests.receive(message, flow)
+        else:
+            self.malformed(SipError("Via, From or To missing", message), flow)
 
     def _datagram_received(self, data: bytes, source: Address) -> None:
         if not data.strip(b"\r\n\0 "):
@@ -235,9 +218,9 @@
         except SipError as error:
             self.malformed(error, flow)
 
-    def _send_response(
-        self, answer: Message, request: Message, flow: Flow, on_error: Callable[[str], None] = _ignore_error
+    def send_response(
+        self, answer: bytes, flow: Flow, target: Target, on_error: Callable[[str], None] = _ignore_error
     ) -> None:
         """Sends a response as 18.2.2 requires."""
-        if not (flow.connection and flow.connection.send(answer.encode())):
-            self.transmit(answer, response_target(request, flow), on_error)
+        if not (flow.connection and flow.connection.send(answer)):
+            self._transmit(answer, target, on_error)
--- a/seamlb/sip/transaction_table.py
+++ b/seamlb/sip/transaction_table.py
@@ -5,8 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+from seamlb.memory import MemoryBudget
 from seamlb.net.connection import Connection
-from seamlb.protocol.server_transaction import InviteServer, NonInviteServer
 from seamlb.protocol.transaction import Deliver, Effects, Failed, Key, Send
 from seamlb.sip.transactions import TransactionEntry
 
@@ -21,11 +21,12 @@
 class TransactionTable:
     """All transactions; `on_unused` gets each connection as its last transaction has a final response."""
 
-    def __init__(self, on_unused: Callable[[Connection], None]) -> None:
+    def __init__(self, on_unused: Callable[[Connection], None], memory: MemoryBudget) -> None:
         self.incoming: dict[Key, TransactionEntry] = {}
         self.outgoing: dict[Key, TransactionEntry] = {}
         self.unanswered: dict[Connection, set[TransactionEntry]] = {}  # by the connection that carries them
         self.on_unused = on_unused
+        self.memory = memory
         self.closing = False
 
     def close(self) -> None:
@@ -54,15 +55,31 @@
             entry.timer = None
         if not entry.is_unanswered:
             self._no_longer_unanswered(entry)
-        table = self.incoming if isinstance(entry.machine, (InviteServer, NonInviteServer)) else self.outgoing
         if entry.machine.terminated:
-            if table.get(entry.key) is entry:
-                del table[entry.key]
-            entry.break_reference_cycles()
+            self.remove(entry)
         elif entry.machine.timers and not self.closing:
             loop = asyncio.get_running_loop()
             entry.timer = loop.call_at(entry.machine.due, self._timer_fired, entry)
 
+    def add_incoming(self, entry: TransactionEntry, held_bytes: int) -> None:
+        """Keep a server transaction."""
+        self.incoming[entry.key] = entry
+        entry.held_bytes = held_bytes
+        self.memory.charge(held_bytes)
+
+    def remove(self, entry: TransactionEntry) -> None:
+        """Forget a transaction, whether it has ended or not."""
+        if entry.timer:
+            entry.timer.cancel()
+            entry.timer = None
+        self._no_longer_unanswered(entry)
+        for table in (self.incoming, self.outgoing):
+            if table.get(entry.key) is entry:
+                del table[entry.key]
+        self.memory.charge(-entry.held_bytes)
+        entry.held_bytes = 0
+        entry.break_reference_cycles()
+
     def _timer_fired(self, entry: TransactionEntry) -> None:
         entry.timer = None
         self.apply(entry, entry.machine.poll(now() + TIMER_SLACK_S))
--- a/seamlb/sip/transactions.py
+++ b/seamlb/sip/transactions.py
@@ -27,6 +27,7 @@
     on_failure: Callable[[str], None]
     timer: asyncio.TimerHandle | None = None
     connection: Connection | None = None
+    held_bytes: int = 0  # charged to the memory budget
     resend: Callable[[], None] | None = None  # sends a BYE over TCP on a new connection, once
 
     @property
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,18 +8,19 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parent.parent / "seamlb"
-WIRE_LAYERS = {"log", "net", "protocol", "sip", "routing"}
+WIRE_LAYERS = {"log", "memory", "net", "protocol", "sip", "routing"}
 ALLOWED = {
     "log": set(),
-    "net": {"log"},
+    "memory": set(),
+    "net": {"log", "memory"},
     "protocol": set(),
     "api": set(),
     "estimators": set(),
     "observations": {"api", "estimators"},
     "policy": {"api", "estimators", "observations"},
     "drill": {"api", "policy"},
-    "routing": {"api", "log", "policy"},
-    "sip": {"log", "net", "protocol"},
+    "routing": {"api", "log", "memory", "policy"},
+    "sip": {"log", "memory", "net", "protocol"},
     "lifecycle": set(),
     "admin": {"net"},
     "fronts": WIRE_LAYERS | {"api", "lifecycle"},
@@ -51,7 +52,7 @@
         "routing",
         "zones",
     },
-    "optional_components": {"desks", "extras", "fronts", "hook", "lifecycle", "routing", "sip"},
+    "optional_components": {"desks", "extras", "fronts", "hook", "lifecycle", "memory", "routing", "sip"},
     "drain": {"desks", "fronts", "lifecycle", "log", "routing"},
     "daemon": {
         "__version__",
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -92,18 +92,18 @@
 
 class ServerTransactionTest(unittest.TestCase):
     def test_timers_g_h_and_i(self) -> None:
-        machine = InviteServer(request(), reliable=False)
+        machine = InviteServer(reliable=False)
         machine.respond(response(request(), 503), 0.0)
         sent = run_timers(machine, 100.0)
         self.assertEqual([at for at, _ in sent[:5]], [0.5, 1.5, 3.5, 7.5, 11.5])
         self.assertEqual(sent[-1], (32.0, "failed"))
-        machine = InviteServer(request(), reliable=False)
+        machine = InviteServer(reliable=False)
         machine.respond(response(request(), 503), 0.0)
         self.assertEqual(machine.receive(request("ACK"), 0.2), [])
         self.assertEqual((machine.state, machine.due), (State.CONFIRMED, 5.2))
 
     def test_retransmitted_invite_gets_the_last_response_and_no_second_final_one(self) -> None:
-        machine = InviteServer(request(), reliable=False)
+        machine = InviteServer(reliable=False)
         trying, final = response(request(), 100), response(request(), 503)
         machine.respond(trying, 0.0)
         self.assertEqual(machine.receive(request(), 0.1), [Send(trying)])
@@ -112,14 +112,14 @@
         self.assertEqual(machine.respond(response(request(), 200), 0.4), [])
 
     def test_accepted_invite_absorbs_retransmissions_until_timer_l(self) -> None:
-        machine = InviteServer(request(), reliable=True)
+        machine = InviteServer(reliable=True)
         machine.respond(response(request(), 200), 0.0)
         self.assertEqual(machine.receive(request(), 1.0), [])
         self.assertEqual([type(effect) for effect in machine.receive(request("ACK"), 1.0)], [Deliver])
         self.assertEqual(machine.due, 32.0)
 
     def test_timer_j(self) -> None:
-        machine = NonInviteServer(request("BYE"), reliable=False)
+        machine = NonInviteServer(reliable=False)
         ok = response(request("BYE"), 200)
         machine.respond(ok, 0.0)
         self.assertEqual(machine.receive(request("BYE"), 31.0), [Send(ok)])
