--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -105,16 +105,7 @@
 
     def _every(self, seconds: float, where: str, function: Callable[[], None]) -> None:
         """Call a function periodically while the daemon runs; an error in it is logged and must not affect calls."""
-
-        async def repeat() -> None:
-            while True:
-                await asyncio.sleep(seconds)
-                try:
-                    function()
-                except Exception as error:
-                    log.event("fault", where=where, error=repr(error), trace=log.trace(error))
-
-        self.tasks.append(asyncio.get_running_loop().create_task(repeat()))
+        self.tasks.append(asyncio.get_running_loop().create_task(tasks.repeat(seconds, where, function)))
 
     async def start(self) -> None:
         """Bind all addresses and start following the list of desks."""
--- a/seamlb/net/tasks.py
+++ b/seamlb/net/tasks.py
@@ -1,9 +1,9 @@
-"""Ends background tasks within a bounded time."""
+"""Periodic background tasks, and the end of tasks within a bounded time."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from seamlb import log
 
@@ -23,3 +23,13 @@
     if overdue:
         names = [task.get_coro().__qualname__ for task in overdue]  # type: ignore[union-attr]
         log.event("tasks_overdue", owner=owner, tasks=names, seconds=within)
+
+
+async def repeat(seconds: float, where: str, function: Callable[[], None]) -> None:
+    """Call a function every `seconds` until cancelled; an error in it is logged and ends nothing."""
+    while True:
+        await asyncio.sleep(seconds)
+        try:
+            function()
+        except Exception as error:
+            log.event("fault", where=where, error=repr(error), trace=log.trace(error))
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -10,7 +10,6 @@
 LONGER_FILES = {
     "seamlb/agree/voter.py": 269,
     "seamlb/api.py": 462,
-    "seamlb/daemon.py": 255,
     "seamlb/emulator/run.py": 269,
     "seamlb/members/swim.py": 394,
     "seamlb/planning/follow.py": 293,
