Send nothing more to a server whose address another one of the list has by now

Cause: a link reconnects to its address, whoever is there; that two listed servers had one address was looked at for incoming messages only.

Evidence on: of tests/test_displaced_servers.py four tests failed: the new server got INVITE and ACK of a call for the old one; its calls were not released within 1 s; over UDP the INVITE was repeated to the new SIP desk.

Fix: of several listed servers at an address the one that started last has it. The others get no set-up and no new connection; with none left from before their calls are cut.

--- a/seamlb/desks/connection_attempt.py
+++ b/seamlb/desks/connection_attempt.py
@@ -56,7 +56,7 @@
         last_accept = self.manager.liveness.last_accept
         self.manager.liveness.accepted(self.loop.time())
         self.came_up.set_result(None)
-        if self.link.removed:
+        if self.link.removed or self.link.displaced:
             connection.close(CloseReason.REPLACED)
         elif self.late and self.manager.is_served():
             connection.close(CloseReason.IDLE)
--- a/seamlb/desks/connection_manager.py
+++ b/seamlb/desks/connection_manager.py
@@ -59,6 +59,11 @@
                 pause = RETRY_MIN
                 await self._wait_for_wakeup(SETUP_SILENCE / 2)
                 continue
+            if self.link.displaced:  # a new connection would lead to another server
+                if not self.link.connections and self.link.has_established():
+                    self._give_up("displaced")
+                await self._wait_for_wakeup(SETUP_SILENCE / 2)
+                continue
             full = len(self.link.connections) >= MAX_CONNECTIONS and not self._close_unused()
             if full or len(self.attempts) >= MAX_ATTEMPTS:
                 await self._wait_for_wakeup(SETUP_SILENCE / 2)
--- a/seamlb/desks/link.py
+++ b/seamlb/desks/link.py
@@ -4,12 +4,10 @@
 
 import asyncio
 import time
-from collections import Counter
-from collections.abc import Callable, Coroutine
-from typing import Any
 
 from seamlb.desks.connection_manager import CALL_SILENCE, ConnectionManager
-from seamlb.desks.legs import Leg, LegTable
+from seamlb.desks.legs import Leg
+from seamlb.desks.link_context import LinkContext
 from seamlb.desks.liveness import Belief
 from seamlb.desks.requests import bye, invite, request
 from seamlb.net.close_reason import CloseReason
@@ -22,31 +20,9 @@
 STATE_SPREAD = 0.1  # seconds in which a state update arrives on all connections: a server sends it on each of them
 
 
-class LinkContext:
-    """What the desk client shares with all its links."""
-
-    def __init__(
-        self,
-        connect_timeout: float,
-        on_relayed: Callable[[], None],
-        on_message: Callable[[Link, Connection, Message], None],
-        on_salvaged: Callable[[Link, Message], None],
-    ) -> None:
-        self.connect_timeout = connect_timeout
-        self.on_relayed = on_relayed  # called when the last byte of a set-up is written
-        self.on_message = on_message
-        self.on_salvaged = on_salvaged
-        self.legs = LegTable()
-        self.tasks: set[asyncio.Task[None]] = set()
-        self.calls_cut: Counter[str] = Counter()  # established calls that were cut, by reason
-        self.closing = False
-
-    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Start a task and keep a reference to it until it is done."""
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
+def _loop_time(unix_ms: float) -> float:
+    """The time of the event loop at a Unix time in milliseconds."""
+    return asyncio.get_running_loop().time() - (time.time() - unix_ms / MS_PER_SECOND)
 
 
 class Link:
@@ -62,6 +38,7 @@
         self.unanswering: dict[Connection, float] = {}  # given up for set-ups while `last_read` stays at this time
         self.reports_state = False  # the server has reported its state, and must do so on each new connection
         self.removed = False
+        self.displaced = False  # another server of the list has this address: nothing more is sent to it
         self.manager = ConnectionManager(self)
         context.spawn(self.manager.run())
 
@@ -79,10 +56,10 @@
     def set_up(self, leg: Leg) -> None:
         """Send a set-up, queue it until there is a connection, or end it if the server is unreachable."""
         self.legs.add(leg)
-        usable = self.usable_connection()
+        usable = None if self.displaced else self.usable_connection()
         if usable and not self._is_suspect(usable, leg.sent_at):
             self._invite(leg, usable)
-        elif self.unreachable or self.context.closing:
+        elif self.unreachable or self.displaced or self.context.closing:
             self.legs.end(leg, Outcome(Status.CONNECT_FAILED))
         else:
             self.waiting.append(leg)
@@ -123,12 +100,31 @@
         for leg in waiting:
             self.legs.end(leg, Outcome(Status.CONNECT_FAILED))
 
+    def displace(self, since_ms: float) -> None:
+        """Send nothing more, as the list tells of another server at this address since then (Unix ms, 0: unknown).
+
+        A connection opened since leads to that server and is closed. One from before still carries releases.
+        """
+        self.displaced = True
+        self.fail_waiting()
+        started_at = _loop_time(since_ms)
+        for connection in self.connections[:]:
+            if since_ms and connection.opened_at >= started_at:
+                self.cut([leg for leg in self.established() if leg.connection is connection], "displaced")
+                connection.close(CloseReason.REPLACED)
+        self.wakeup.set()
+
+    def restore(self) -> None:
+        """Use the address again: no other server of the list has it any more."""
+        self.displaced = False
+        self.wakeup.set()
+
     def process_started(self, since_ms: float) -> None:
         """Cut the calls of the process before the one that started then (Unix milliseconds), as the list tells.
 
         The list may be seconds late: a call on a connection opened after the start is one of the new process.
         """
-        started_at = asyncio.get_running_loop().time() - (time.time() - since_ms / MS_PER_SECOND)
+        started_at = _loop_time(since_ms)
         self.cut([leg for leg in self.established() if leg.is_on_connection_before(started_at)], "restarted")
 
     def cut(self, legs: list[Leg], why: str) -> None:
--- a/seamlb/desks/platform.py
+++ b/seamlb/desks/platform.py
@@ -6,8 +6,10 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from seamlb.desks.address_owner import address_owner
 from seamlb.desks.legs import Key, Leg
-from seamlb.desks.link import CAUSE_CUT, Link, LinkContext
+from seamlb.desks.link import CAUSE_CUT, Link
+from seamlb.desks.link_context import LinkContext
 from seamlb.desks.requests import call_request, reason_header, request
 from seamlb.net.close_reason import CloseReason
 from seamlb.net.connection import Connection
@@ -43,6 +45,23 @@
     def desk_changed(self, desk: Desk) -> None:
         """Keep a connection to each listed server, on which it reports the state of its group."""
         link = self.links.get(desk.ident)
+        addresses = {desk.address, link.desk.address} if link else {desk.address}
+        self._update_link(desk, link)
+        for address in addresses:
+            self._update_displaced(address)
+
+    def _update_displaced(self, address: str) -> None:
+        """Let only the server that is at an address now be used there, where several of the list have it."""
+        owner = address_owner(address, (link.desk for link in self.links.values()))
+        for link in self.links.values():
+            if owner is None or link.desk.address != address:
+                continue
+            if link.desk is owner and link.displaced:
+                link.restore()
+            elif link.desk is not owner and not link.displaced:
+                link.displace(owner.since_ms)
+
+    def _update_link(self, desk: Desk, link: Link | None) -> None:
         if link is not None and (link.desk.address != desk.address or desk.availability == Availability.GONE):
             del self.links[desk.ident]
             link.drop("removed" if desk.availability == Availability.GONE else "moved")
--- a/seamlb/desks/sip.py
+++ b/seamlb/desks/sip.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from seamlb import log
+from seamlb.desks.address_owner import address_owner
 from seamlb.desks.sip_requests import build_cancel, build_invite
 from seamlb.net.address import split_address
 from seamlb.protocol.dialog import Dialog
@@ -74,9 +75,14 @@
 
         The list may be seconds late: what has reached a desk after its restart is at the new process, and stays.
         """
-        old = self.desks.pop(desk.ident, None)
+        old = self.desks.get(desk.ident)
         if desk.availability != Availability.GONE:
-            self.desks[desk.ident] = desk
+            self.desks[desk.ident] = desk  # keeps its place, which tells who is at an address that several have
+        else:
+            self.desks.pop(desk.ident, None)
+        displaced = {ident for ident in self.desks if self._is_displaced(ident)}
+        for leg in [leg for (ident, _), leg in self.legs.items() if ident in displaced]:
+            self._cut(leg)
         if old is None or old == desk:
             return
         is_replaced = desk.availability == Availability.GONE or old.address != desk.address
@@ -85,6 +91,11 @@
             if is_replaced or (is_restarted and leg.reached_at * MS_PER_SECOND < desk.since_ms):
                 self._cut(leg)
 
+    def _is_displaced(self, ident: str) -> bool:
+        """Whether another desk of the list is at the address of this one: the list is late to tell that it left."""
+        desk = self.desks.get(ident)
+        return desk is not None and address_owner(desk.address, self.desks.values()) is not desk
+
     def _cut(self, leg: Leg) -> None:
         """End a call whose desk was removed, restarted or has moved, and release or cancel it there."""
         self._remove(leg)
@@ -97,7 +108,7 @@
     def set_up(self, attempt: Attempt, notify: AttemptCallback) -> None:
         """Start an attempt; `notify` gets at most one Answer and then exactly one Outcome."""
         desk = self.desks.get(attempt.desk)
-        if desk is None:
+        if desk is None or self._is_displaced(attempt.desk):
             return notify(attempt.leg, Outcome(Status.CONNECT_FAILED))
         request = attempt.request
         target = Target(self.transport, split_address(desk.address))
