--- a/seamlb/desks/link.py
+++ b/seamlb/desks/link.py
@@ -214,6 +214,8 @@
 
     def opened(self, connection: Connection) -> None:
         """Use a connection for new messages, and send first what waited for one."""
+        if self.displaced:  # it was being opened as the list told of another server at the address
+            return connection.close(CloseReason.REPLACED)
         self.connections.append(connection)
         self.manager.believe(Belief.REACHABLE, "connected")
         self.close_idle(CloseReason.SILENT)
--- a/tests/test_displaced_servers.py
+++ b/tests/test_displaced_servers.py
@@ -55,6 +55,15 @@
         await asyncio.sleep(0.5)
         self.assertEqual(link.connections, [])
 
+    async def test_a_connection_that_comes_up_as_the_new_one_is_listed_is_not_used(self) -> None:
+        daemon, new, _ = await self.start_replaced()
+        link = daemon.desks.links["d0"]
+        await self.eventually(lambda: link.manager.attempts and not link.connections)
+        tell(daemon, listed("new", new.address, 5))
+        await self.eventually(lambda: new.peers)
+        await asyncio.sleep(0.3)
+        self.assertEqual(link.connections, [])
+
     async def test_the_address_is_used_again_once_the_other_server_has_left_it(self) -> None:
         daemon, new, caller = await self.start_replaced()
         tell(daemon, listed("new", new.address, 5))
