Count a connection that waits for a turn as having unread data, and show the memory budget

/admin/stats shows memory_charged and memory_budget, so that a 503 for want of memory can be told from others.

--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -156,7 +156,7 @@
 
     def stats(self) -> dict[str, Any]:
         """The content of `/admin/stats`."""
-        stats = self.agent.stats() | self.board.stats() | self.front.stats()
+        stats = self.agent.stats() | self.board.stats() | self.front.stats() | self.memory.stats()
         stats |= {"cfg_accepted": self.cfg_accepted, "cfg_invalid": self.cfg_invalid}
         return stats | self.platform_desks.stats() if self.platform_desks else stats
 
--- a/seamlb/memory.py
+++ b/seamlb/memory.py
@@ -31,6 +31,10 @@
         """Count bytes that are held from now on, or no longer if `size` is negative."""
         self.used += size
 
+    def stats(self) -> dict[str, float]:
+        """The content of `/admin/stats`: bytes charged and their limit."""
+        return {"memory_charged": self.used, "memory_budget": self.limit}
+
     def has_room(self, size: int = 0) -> bool:
         """Whether this many bytes more are within the limit."""
         return self.used + size <= self.limit
--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -95,15 +95,16 @@
         except OSError:
             return True
 
-    def _read_completed(self) -> bool:
-        """Whether the stream has read bytes in this turn of the event loop that `run` gets in the next turn."""
+    def _has_unprocessed_data(self) -> bool:
+        """Whether the stream has read bytes that `run` processes in a later turn of the event loop."""
         read = self._pending_read
-        return read is not None and read.done() and not read.cancelled() and read.exception() is None
+        is_read = read is not None and read.done() and not read.cancelled() and read.exception() is None
+        return is_read or self._turn is not None
 
     def has_unread_data(self) -> bool:
         """Whether bytes have arrived that `run` has not processed; they are newer than `last_read`."""
         try:
-            return not self.closed and (self._read_completed() or bool(peek(self.stream.socket)))
+            return not self.closed and (self._has_unprocessed_data() or bool(peek(self.stream.socket)))
         except OSError:
             return False
 
@@ -115,7 +116,7 @@
         if self.closed or self.in_use() or asyncio.get_running_loop().time() - self.last_read < min_idle:
             return False
         try:
-            return not self.stream.writing() and not self._read_completed() and not peek(self.stream.socket)
+            return not self.stream.writing() and not self._has_unprocessed_data() and not peek(self.stream.socket)
         except OSError:
             return False  # the reader gets the same error
 
@@ -150,7 +151,6 @@
         `received` returns true if it has not processed all messages: it is called again, without data, in a later
         turn. A peer that floods a connection waits for its turns, as others are to be served beside it.
         """
-        loop = asyncio.get_running_loop()
         try:
             while True:
                 self._pending_read = asyncio.ensure_future(self.stream.read_bytes(self.read_per_turn, partial=True))
@@ -161,7 +161,7 @@
                     self.on_residual_data(data)
                     await self.lingering.discard(len(data), self.close)
                     continue
-                self.last_read = loop.time()
+                self.last_read = asyncio.get_running_loop().time()
                 if is_flooded:
                     await self._next_turn()
                 more = not self.closed and received(data)
--- a/tests/test_displaced_servers.py
+++ b/tests/test_displaced_servers.py
@@ -70,7 +70,8 @@
         tell(daemon, Desk("new", new.address, 0, 5, api.Availability.GONE, 0.0))
         await self.eventually(lambda: daemon.desks.links["d0"].connections)
 
-    async def test_calls_of_a_server_that_has_gone_are_released_as_the_new_one_is_listed(self) -> None:
+    async def start_with_call(self) -> tuple[Daemon, ScriptedDesk, Peer]:
+        """A call that stands at the server of pool 0."""
         old = ScriptedDesk(answer)
         daemon = await self.start(old, settings=LONG_TARGETS)
         caller = await self.caller()
@@ -78,6 +79,10 @@
         await caller.until(200)
         caller.send(sip_request("ACK", OLD_CALL))
         await old.until("ACK")
+        return daemon, old, caller
+
+    async def test_calls_of_a_server_that_has_gone_are_released_as_the_new_one_is_listed(self) -> None:
+        daemon, old, caller = await self.start_with_call()
         port = int(old.address.rpartition(":")[2])
         await old.stop()
         new = ScriptedDesk()
@@ -88,13 +93,7 @@
             self.assertEqual((await caller.until("BYE")).get("call-id"), OLD_CALL)
 
     async def test_calls_on_a_connection_from_before_are_kept(self) -> None:
-        old = ScriptedDesk(answer)
-        daemon = await self.start(old, settings=LONG_TARGETS)
-        caller = await self.caller()
-        caller.send(invite(OLD_CALL))
-        await caller.until(200)
-        caller.send(sip_request("ACK", OLD_CALL))
-        await old.until("ACK")
+        daemon, old, caller = await self.start_with_call()
         tell(daemon, listed("new", old.address, 5))  # as where the old process drains and the new one listens
         old.peers[0].send(sip_request("BYE", OLD_CALL, ("Reason", "Q.850;cause=16")))
         self.assertIn("cause=16", (await caller.until("BYE")).get("reason"))
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -68,5 +68,7 @@
         budget = MemoryBudget()
         budget.set_limit(64, 30_000_000)
         self.assertTrue(34_000_000 / 2 < budget.limit < 34_000_000)
+        budget.charge(5)
+        self.assertEqual(budget.stats(), {"memory_charged": 5, "memory_budget": budget.limit})
         budget.set_limit(32, 30_000_000)
         self.assertEqual(budget.limit, MIN_BUDGET)
