--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -191,6 +191,8 @@
                 "out_of_rotation": 0,
                 "cfg_accepted": 0,
                 "cfg_invalid": 0,
+                "memory_charged": 0,
+                "memory_budget": None,
             },
         )
         caller = await self.caller()
