Charge an open call with 8 KiB, as it holds 6.8 KB, so that no call is refused too early

Of 500 to 2,000 calls standing at once in a process of its own each took 6.2 to 6.8 KB. Charged with 12 KiB, 190 calls a second of 10 s each would not have fitted a limit of 64 MB.

--- a/seamlb/memory.py
+++ b/seamlb/memory.py
@@ -11,7 +11,7 @@
 BYTES_PER_MB = 1_000_000  # `limits.memory_mb` by its smaller meaning
 NEW_WORK_SHARE = 0.85  # of the budget, beyond which no new call is taken: the rest is for what is open
 CONNECTION_BYTES = 24 * 1024  # of an open connection, beside the data in its buffers
-CALL_BYTES = 12 * 1024  # of an open call, beside its description
+CALL_BYTES = 8 * 1024  # of an open call, beside its description
 TRANSACTION_BYTES = 6 * 1024  # of a SIP transaction
 
 
