Ask a socket for its peer's close only where it told an open connection before

TCP_INFO is the kernel's word. The state counts now only if it was ESTABLISHED or CLOSE_WAIT as the connection began; else the end of the stream tells, as before.

--- a/seamlb/net/connection.py
+++ b/seamlb/net/connection.py
@@ -14,7 +14,7 @@
 from seamlb.net.connection_memory import ConnectionMemory
 from seamlb.net.lingering import Lingering
 from seamlb.net.message_timer import MessageTimer
-from seamlb.net.socket_state import peek, peer_has_closed
+from seamlb.net.socket_state import SocketState
 from seamlb.net.turns import Turns
 from seamlb.net.write_timer import WriteTimer
 
@@ -57,7 +57,7 @@
         memory: MemoryBudget | None = None,
     ) -> None:
         self.ident = ident or next_ident()
-        self.stream = stream
+        self.stream, self._socket = stream, SocketState(stream.socket)
         self.kind = kind
         self.peer = peer
         self.write_timeout = write_timeout
@@ -91,7 +91,7 @@
         had read it. Also checked before work for the peer begins: it may have gone with much of its data unread.
         """
         try:
-            return self.closed or peer_has_closed(self.stream.socket) or peek(self.stream.socket) == b""
+            return self.closed or self._socket.peer_has_closed()
         except OSError:
             return True
 
@@ -104,7 +104,7 @@
     def has_unread_data(self) -> bool:
         """Whether bytes have arrived that `run` has not processed; they are newer than `last_read`."""
         try:
-            return not self.closed and (self._has_unprocessed_data() or bool(peek(self.stream.socket)))
+            return not self.closed and (self._has_unprocessed_data() or bool(self._socket.peek()))
         except OSError:
             return False
 
@@ -116,7 +116,7 @@
         if self.closed or self.in_use() or asyncio.get_running_loop().time() - self.last_read < min_idle:
             return False
         try:
-            return not self.stream.writing() and not self._has_unprocessed_data() and not peek(self.stream.socket)
+            return not self.stream.writing() and not self._has_unprocessed_data() and not self._socket.peek()
         except OSError:
             return False  # the reader gets the same error
 
--- a/tests/test_left_callers.py
+++ b/tests/test_left_callers.py
@@ -10,6 +10,7 @@
 from seamlb.config import Overrides
 from seamlb.daemon import Daemon
 from seamlb.fronts.used_ids import MAX_REMEMBERED, MIN_REMEMBERED_S, UsedIds
+from seamlb.net.socket_state import SocketState
 from seamlb.protocol.sip import Message
 from seamlb.store.shared_ids import SharedIdFiles, SharedIdsError
 from tests.loopback import DaemonTestCase, Peer, ScriptedDesk, config, invite, never_answer, refuse, sip_request
@@ -61,6 +62,24 @@
         self.assertEqual([one["result"] for one in self.events("call_end")], ["left"])
         self.assertEqual(second.received.qsize(), 0)
 
+    async def test_a_socket_whose_state_is_not_told_counts_as_open_until_all_is_read(self) -> None:
+        """Where sockets are not the kernel's own, a connected one may look closed; nothing may be dropped for it."""
+        for state in (b"\x00", b"\x07", b""):
+            with (
+                self.subTest(state=state),
+                mock.patch.object(socket.socket, "getsockopt", lambda *a, state=state: state),
+            ):
+                ours, theirs = socket.socketpair()
+                ours.setblocking(False)
+                told = SocketState(ours)
+                self.assertFalse(told.peer_has_closed())
+                theirs.send(b"x")
+                theirs.close()
+                self.assertFalse(told.peer_has_closed())
+                ours.recv(1)
+                self.assertTrue(told.peer_has_closed())
+                ours.close()
+
 
 class IdsThatComeAgain(DaemonTestCase):
     # Guards against picture (c): an id ran twice when it came again after its client had left.
