Ask Consul to hold a query for 2 s at most, so that a silent one is noticed in time

Cause: a query counted as held by Consul until wait * 17 / 16 + 2 s after it was sent. `wait` is a setting, 30 s if it isn't given, so silence passed for a sign of life for 33.9 s.

Fix: 0.1 to 2 s of `wait` are used, so the time until a silent query is noticed no longer depends on the setting. Under 0 or not a number is refused as a bad file. The same holds for an answer that stops half way, and for a query of an index that went back, which Consul holds to its end.

--- a/seamlb/discovery/consul.py
+++ b/seamlb/discovery/consul.py
@@ -13,10 +13,12 @@
 
 from seamlb import log
 from seamlb.discovery.poller import Poller, PollError
+from seamlb.discovery.polls import POLL_WAIT
 from seamlb.net.close_reason import CloseReason
 from seamlb.routing.model import Availability, Desk, DeskListCallback, Scope
 
 BACK_OFF_MIN, BACK_OFF_MAX = 0.5, 30.0  # seconds
+MIN_WAIT = 0.1  # seconds
 
 
 @dataclass(slots=True, frozen=True)
@@ -25,11 +27,16 @@
 
     address: str
     service: str
-    wait: float = 30.0  # seconds Consul may hold a blocking query
+    wait: float = POLL_WAIT  # seconds Consul may hold a blocking query; MIN_WAIT to POLL_WAIT is used
     cell_key: str = "cell"  # this and the following are keys in ServiceMeta
     zone_key: str = "zone"
     since_key: str = "up_since_ms"
 
+    @property
+    def query_wait(self) -> float:
+        """Seconds for which Consul is asked to hold a query: so few that a silent one is noticed in time."""
+        return min(max(self.wait, MIN_WAIT), POLL_WAIT)
+
 
 class ConsulError(Exception):
     """Consul sent an unusable response."""
@@ -67,11 +74,12 @@
         poller = Poller(self.config.address, "consul")
         index, failures = 0, 0
         # Consul adds up to a sixteenth of the wait time; without a response after that the connection is dead.
-        timeout = self.config.wait * 17 / 16 + 2.0
+        wait = self.config.query_wait
+        timeout = wait * 17 / 16 + 2.0
         try:
             while True:
                 try:
-                    answer = await poller.get(f"{path}?index={index}&wait={int(self.config.wait * 1000)}ms", timeout)
+                    answer = await poller.get(f"{path}?index={index}&wait={int(wait * 1000)}ms", timeout)
                     if answer.status != 200:
                         raise ConsulError(f"status {answer.status}")
                     new_index = answer.headers.get("x-consul-index", "")
--- a/seamlb/extras.py
+++ b/seamlb/extras.py
@@ -212,6 +212,8 @@
 def _check_sip_and_consul(
     config: Config, sip: SipFrontConfig | None, desks: SipDesksConfig | None, consul: ConsulConfig | None
 ) -> None:
+    if consul and not consul.wait >= 0:  # not a number compares as false
+        raise ValueError(f"consul.wait: under 0 or not a number: {consul.wait!r}")
     addresses = {"consul.address": consul.address} if consul else {}
     for name, table in (("sip", sip), ("desks", desks)):
         if table:
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -46,6 +46,9 @@
         self.assert_refused("unknown class 'x'", valid, '[sip]\nudp = "127.0.0.1:1"\ndefault_class = "x"\n')
         self.assert_refused("sip.udp: not host:port", valid, '[sip]\nudp = "nowhere"\n')
         self.assert_refused("desks.transport", valid, '[desks]\ntransport = "tcp"\nudp = "127.0.0.1:1"\n')
+        consul = '[consul]\naddress = "127.0.0.1:1"\nservice = "s"\n'
+        self.assert_refused("consul.wait: under 0", valid, consul + "wait = -1\n")
+        self.assert_refused("consul.wait: under 0 or not a number", valid, consul + "wait = nan\n")
         self.assert_refused("hook.py: FileNotFoundError", valid, '[hook]\nfile = "hook.py"\n')
 
     def test_the_shipped_files_are_valid(self) -> None:
--- /dev/null
+++ b/tests/test_consul_faults.py
@@ -0,0 +1,86 @@
+"""Consul's client where open queries are silent, are cut off, or wait for an index that went back."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from seamlb.api import Availability
+from seamlb.discovery.consul import Consul, ConsulConfig
+from tests.consul_server import ConsulServer
+from tests.http_peers import DiscoveryTestCase
+
+TOLD_WITHIN = 7.0  # seconds after a change (PROTOCOL, "Figures")
+WAITS = (0.0, 0.01, 1.0, 2.0, 5.0, 30.0, 600.0)  # of the configuration, in seconds
+BEFORE_CHANGE = 0.5  # seconds from a fault to the change
+
+
+class ConsulFaults(DiscoveryTestCase):
+    async def follow_consul(self, wait: float = 30.0) -> tuple[ConsulServer, list[tuple[float, dict[str, int]]]]:
+        """Follow a server until both desks are known; returns it, and each list with the time it was published."""
+        published: list[tuple[float, dict[str, int]]] = []
+        server = ConsulServer()
+        consul = Consul(
+            ConsulConfig(await server.start(), "desk", wait),
+            ["z"],
+            lambda scope, desks: published.append((time.monotonic(), {d.ident: d.availability for d in desks})),
+            seed=1,
+        )
+        await self.follow(consul, server)  # type: ignore[arg-type]
+        await self.eventually(lambda: published and len(server.queries) >= 4)
+        return server, published
+
+    async def told_after(
+        self,
+        wait: float,
+        fault: Callable[[ConsulServer], object],
+        mend: Callable[[ConsulServer], object],
+        down: float,
+    ) -> float:
+        """Seconds from when Consul had a change and could be reached to when it was known; infinity if not in time.
+
+        The fault begins 0.5 s before the change and is mended `down` seconds after it.
+        """
+        server, published = await self.follow_consul(wait)
+        fault(server)
+        await asyncio.sleep(BEFORE_CHANGE)
+        server.mark_critical("a")
+        await asyncio.sleep(down)
+        reachable_at = time.monotonic()
+        if asyncio.iscoroutine(mending := mend(server)):
+            await mending
+        known = {"n/a": Availability.DRAINING, "n/b": Availability.READY}
+        while time.monotonic() < reachable_at + TOLD_WITHIN and published[-1][1] != known:
+            await asyncio.sleep(0.02)
+        lists = [desks for _, desks in published]
+        # The last known desks stay in use, and nothing but the change is told.
+        self.assertIn(lists, ([{"n/a": Availability.READY, "n/b": Availability.READY}], [lists[0], known]))
+        return published[1][0] - reachable_at if len(published) == 2 else float("inf")
+
+    async def assert_told(
+        self,
+        within: float,
+        fault: Callable[[ConsulServer], object],
+        mend: Callable[[ConsulServer], object] = lambda server: None,
+        outages: tuple[float, ...] = (0.0,),
+    ) -> None:
+        cases = [(wait, down) for wait in WAITS for down in outages]
+        told = await asyncio.gather(*(self.told_after(wait, fault, mend, down) for wait, down in cases))
+        self.assertEqual({c: seconds for c, seconds in zip(cases, told, strict=True) if seconds > within}, {})
+
+    # Review case 10: set-ups went to a critical desk while Consul's open watches were silent.
+    async def test_a_change_is_known_in_time_while_the_open_queries_are_silent(self) -> None:
+        await self.assert_told(TOLD_WITHIN, ConsulServer.fall_silent)
+
+    # Review case 10, kin: an answer that stopped half way was waited for like a silent query.
+    async def test_a_change_is_known_in_time_where_its_answer_stops_half_way(self) -> None:
+        def cut(server: ConsulServer) -> None:
+            server.cuts_answers = True
+
+        def mend(server: ConsulServer) -> None:
+            server.cuts_answers = False
+
+        await self.assert_told(TOLD_WITHIN, cut, mend, (0.2,))
+
+    # Review case 10, kin: a query of an index that went back is held for its whole wait.
+    async def test_a_change_is_known_in_time_after_the_index_went_back(self) -> None:
+        await self.assert_told(TOLD_WITHIN, ConsulServer.begin_anew)
