--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -115,7 +115,7 @@
         if self.sip_desks and self.plugins.desks:
             await self.sip_desks.endpoint.listen(self.plugins.desks.udp, self.plugins.desks.tcp)
         if config.known:
-            self.board.apply(config.known)
+            self.board.apply_notices(config.known)
         loop = asyncio.get_running_loop()
         if config.management:
             self.management.start()
--- a/seamlb/discovery/polls.py
+++ b/seamlb/discovery/polls.py
@@ -1,59 +1,78 @@
-"""The polls of the notice board that are under way: when another one is due beside those that are not answered."""
+"""The long polls of one watch that are under way: when another one is due beside those that are not answered."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from seamlb.discovery.poller import Poller
 from seamlb.net.close_reason import CloseReason
 from seamlb.protocol.http import Response
 
-POLL_WAIT = 2.0  # seconds the board may hold a poll until there is an event
+POLL_WAIT = 2.0  # seconds the server may hold a poll until there is a change
 SILENCE_MARGIN = 1.5  # seconds after that until another poll is sent; a drain must be known within 7 s
 CONNECT_MARGIN = 1.0  # seconds until another poll is sent if no connection came up
-PATIENCE = 30.0  # seconds for which the answer to a poll still counts: a crowded board may take long
+PATIENCE = 30.0  # seconds for which the answer to a poll still counts: a crowded server may take long
 MAX_POLLS = 3  # under way at once
 # Seconds between retries after an error. Events missed in an outage count as known 2 s after it, so they stay well
 # below that.
 RETRY_MIN, RETRY_MAX = 0.1, 0.5
 
 
+@dataclass(slots=True, frozen=True)
+class PollRequest:
+    """What a poll asks for."""
+
+    path: str
+    watch: int  # the latest event, or index, that is known
+    wait: float  # longest time in seconds for which the server holds it
+    numbering: int = 0  # of the board's event numbers; a board that was restarted begins another one
+
+
 @dataclass(slots=True, eq=False)
 class Poll:
     """One poll that is under way."""
 
     poller: Poller
-    watch: int  # the latest event that was known as it was sent
-    wait: float  # seconds for which the board may hold it
-    numbering: int  # of the board's event numbers; a board that was restarted begins another one
+    request: PollRequest
     started: float  # loop time
     task: asyncio.Task[Response]
     overdue: bool = False
 
     @property
     def overdue_at(self) -> float:
-        """Loop time from which the poll no longer shows that the board is reachable."""
-        return self.started + (self.wait + SILENCE_MARGIN if self.poller.connected else CONNECT_MARGIN)
+        """Loop time from which the poll no longer shows that the server is reachable."""
+        return self.started + (self.request.wait + SILENCE_MARGIN if self.poller.connected else CONNECT_MARGIN)
+
+
+def _no_jitter() -> float:
+    return 1.0
 
 
 class Polls:
     """All polls under way, the oldest first.
 
-    A poll that is overdue stays: the board may be slow, and its answer still counts. Others are sent beside it on
+    A poll that is overdue stays: the server may be slow, and its answer still counts. Others are sent beside it on
     connections of their own, as a connection may be dead. If there are too many, the second one gives way: the oldest
-    is the next that a slow board answers, the newest the one that a board which returns answers.
+    is the next that a slow server answers, the newest the one that a server which returns answers.
+
+    `retry_min` and `retry_max`: seconds between a failure and the next poll, doubled from one to the other;
+    `jitter` returns the part of them that is waited.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, retry_min: float = RETRY_MIN, retry_max: float = RETRY_MAX, jitter: Callable[[], float] = _no_jitter
+    ) -> None:
+        self.retry_min, self.retry_max, self.jitter = retry_min, retry_max, jitter
         self.under_way: list[Poll] = []
         self.failures = 0  # since the last answer
-        self.pause = 0.0  # seconds between the last failure and the next poll
+        self.backoff = 0.0  # seconds between the last failure and the next poll, without jitter
         self.retry_at = 0.0  # loop time
 
     @property
     def wait(self) -> float:
-        """Seconds for which the board may hold the next poll; after a failure it is asked to answer at once."""
+        """Seconds for which the server may hold the next poll; after a failure it is asked to answer at once."""
         return 0.0 if self.failures else POLL_WAIT
 
     @property
@@ -83,13 +102,13 @@
 
     def answered(self) -> None:
         """Record an answer: the next poll is due at once."""
-        self.failures, self.pause, self.retry_at = 0, 0.0, 0.0
+        self.failures, self.backoff, self.retry_at = 0, 0.0, 0.0
 
     def failed(self, now: float) -> None:
         """Record a failure: the next poll is due after a pause that doubles."""
         self.failures += 1
-        self.pause = min(max(2 * self.pause, RETRY_MIN), RETRY_MAX)
-        self.retry_at = now + self.pause
+        self.backoff = min(max(2 * self.backoff, self.retry_min), self.retry_max)
+        self.retry_at = now + self.backoff * self.jitter()
 
     def close(self, reason: CloseReason) -> None:
         """Close all polls; their answers no longer count, and the next one is due at once."""
