Follow Consul by overlapping queries, so that one that answers slowly is heard

What callers saw, or would see: where each answer of Consul takes some seconds, nothing that it tells is heard, and set-ups go on to desks that are critical.

Cause: one query at a time, given up with its connection if it wasn't answered in time; the next one waited as long.

Fix: Consul's two paths are followed by Watch, as the board is: a query that is overdue stays, and others go out beside it. An answer to a query sent before the newest one with an answer is ignored, as queries overlap and indexes may go back. `consul_error` names overdue queries too, with the time since the last answer and until the next query. The six connections at most are kept out of the callers' share of descriptors (two were not counted before).

test_discovery measured the pauses by a replaced sleep, which is gone. It takes them from the log now, with the same bounds, and holds that no query came earlier on the wire.

Without the order of queries the late answer brings the desk back.

--- a/seamlb/daemon.py
+++ b/seamlb/daemon.py
@@ -63,11 +63,13 @@
         self.agent.rejects_requests = lambda: not self.lifecycle.accepts_requests(asyncio.get_running_loop().time())
         self.sockets = descriptors.descriptor_limit(config.sockets)
         self.management_limit = descriptors.max_management_connections(self.sockets, management.MAX_CONNECTIONS)
+        self.discovery = DiscoverySubsystem(config, plugins, self.agent)
+        self.board = self.discovery.board
         self.front = PlatformFront(self.agent, self.lifecycle, config.listen, self._client_limit(), self.memory)
         self.peers = PeerSocket(config, self.agent) if config.peer_listen and settings.limits.peers else None
         self.subsystems: list[Subsystem] = [self.peers] if self.peers else []
         self.subsystems += build(config, plugins, self.agent)
-        self.subsystems.append(discovery := DiscoverySubsystem(config, plugins, self.agent))
+        self.subsystems.append(self.discovery)
         self.plan = PlanSubsystem(config, plugins.plan, self.agent, self._every)
         self.subsystems.append(self.plan)
         if rules:
@@ -95,13 +97,13 @@
         )
         self.desks = self.agent.desks = self.sip_desks or self.platform_desks
         self.drain = Drain(self.lifecycle, self.agent, self.front, self.sip, self.platform_desks)
-        self.discovery, self.board = discovery, discovery.board
         self.tasks: list[asyncio.Task[None]] = []  # cancelled when the daemon ends
         self.stop_requested = asyncio.Event()
 
     def _client_limit(self) -> int:
         """The number of callers' connections for which descriptors remain beside those to the listed servers."""
-        return descriptors.max_caller_connections(self.sockets, len(self.agent.listed), self.management_limit)
+        others = self.management_limit + self.discovery.connections_beside_board
+        return descriptors.max_caller_connections(self.sockets, len(self.agent.listed), others)
 
     def _every(self, seconds: float, where: str, function: Callable[[], None]) -> None:
         """Call a function periodically while the daemon runs; an error in it is logged and must not affect calls."""
--- a/seamlb/discovery/consul.py
+++ b/seamlb/discovery/consul.py
@@ -12,13 +12,18 @@
 import orjson
 
 from seamlb import log
-from seamlb.discovery.poller import Poller, PollError
-from seamlb.discovery.polls import POLL_WAIT
-from seamlb.net.close_reason import CloseReason
+from seamlb.discovery.polls import MAX_POLLS, POLL_WAIT, Poll, PollRequest, Polls
+from seamlb.discovery.watch import ResponseError, Watch
+from seamlb.protocol.http import Response
 from seamlb.routing.model import Availability, Desk, DeskListCallback, Scope
 
-BACK_OFF_MIN, BACK_OFF_MAX = 0.5, 1.0  # seconds; what is missed in an outage must be known soon after it
 MIN_WAIT = 0.1  # seconds
+HOLD_FACTOR = 17 / 16  # Consul adds up to a sixteenth of the wait time (API documentation, "Blocking Queries")
+# Seconds between an error and the next query; what is missed in an outage must be known soon after it.
+RETRY_MIN, RETRY_MAX = 0.5, 1.0
+MIN_JITTER = 0.5  # of the pause after an error
+MAX_INDEX_DIGITS = 20  # of a 64-bit number
+MAX_CONNECTIONS = 2 * MAX_POLLS  # queries of the catalogue and of the health API
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,26 +43,69 @@
         return min(max(self.wait, MIN_WAIT), POLL_WAIT)
 
 
-class ConsulError(Exception):
-    """Consul sent an unusable response."""
+class BlockingQuery:
+    """One path of Consul's API, followed by blocking queries; `on_body` takes each body.
+
+    It may raise LookupError, TypeError, ValueError, AttributeError or ArithmeticError for one that is malformed.
+    """
+
+    def __init__(
+        self, config: ConsulConfig, path: str, on_body: Callable[[Any], None], jitter: Callable[[], float]
+    ) -> None:
+        self.path = path
+        self.wait = config.query_wait
+        self.on_body = on_body
+        self.index = 0  # of the newest response
+        self.newest_sent_at = 0.0  # loop time at which the query of that response was sent
+        self.watch = Watch(config.address, "consul", self, Polls(RETRY_MIN, RETRY_MAX, jitter))
+
+    def next_request(self) -> PollRequest:
+        """The query that is sent now; Consul answers at once to index 0, which it is asked for after a failure."""
+        index = 0 if self.watch.polls.failures else self.index
+        path = f"{self.path}?index={index}&wait={int(self.wait * 1000)}ms"
+        return PollRequest(path, index, self.wait * HOLD_FACTOR if index else 0.0)
+
+    def apply(self, poll: Poll, response: Response) -> None:
+        """Apply a response; ResponseError if it can't be used.
+
+        One to a query that was sent before that of the newest response is late and may be outdated.
+        """
+        if response.status != 200:
+            raise ResponseError(f"status {response.status}")
+        digits = response.headers.get("x-consul-index", "")
+        if not (digits.isascii() and digits.isdigit() and len(digits) <= MAX_INDEX_DIGITS):
+            raise ResponseError("no X-Consul-Index")
+        if poll.started < self.newest_sent_at:
+            return
+        try:
+            self.on_body(orjson.loads(response.body))
+        except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
+            raise ResponseError(repr(error)) from None
+        self.newest_sent_at = poll.started
+        # An index that went back means a new state store: query again at once from index 0.
+        self.index = int(digits) if int(digits) >= poll.request.watch else 0
+
+    def poll_failed(self, poll: Poll, reason: str) -> None:
+        """One line for a query that failed or has become overdue."""
+        polls = self.watch.polls
+        log.event(
+            "consul_error",
+            path=self.path,
+            error=reason,
+            failures=polls.failures,
+            unheard_s=self.watch.seconds_unanswered(),
+            retry_in_s=round(max(0.0, polls.next_due - asyncio.get_running_loop().time()), 3),
+        )
 
 
 class Consul:
     """Follows one service; an instance missing from the catalogue is gone, one whose checks fail is draining."""
 
-    def __init__(
-        self,
-        config: ConsulConfig,
-        zones: Sequence[str],
-        on_change: DeskListCallback,
-        seed: int,
-        sleep: Callable[[float], Any] = asyncio.sleep,
-    ) -> None:
+    def __init__(self, config: ConsulConfig, zones: Sequence[str], on_change: DeskListCallback, seed: int) -> None:
         self.config = config
         self.zones = {name: index for index, name in enumerate(zones)}
         self.on_change = on_change
         self.rng = random.Random(seed)
-        self.sleep = sleep
         self.instances: dict[str, Desk] | None = None
         self.states: dict[str, Availability] | None = None
         self.published: tuple[Desk, ...] | None = None
@@ -66,38 +114,12 @@
         """Follow the catalogue and the health API until cancelled."""
         name = quote(self.config.service, safe="")
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch(f"/v1/catalog/service/{name}", self._catalogue))
-            group.create_task(self._watch(f"/v1/health/service/{name}", self._health))
-
-    async def _watch(self, path: str, apply: Callable[[Any], None]) -> None:
-        """Repeat blocking queries on one path; after errors the delay doubles, with jitter."""
-        poller = Poller(self.config.address, "consul")
-        index, failures = 0, 0
-        # Consul adds up to a sixteenth of the wait time; without a response after that the connection is dead.
-        wait = self.config.query_wait
-        timeout = wait * 17 / 16 + 2.0
-        try:
-            while True:
-                try:
-                    answer = await poller.get(f"{path}?index={index}&wait={int(wait * 1000)}ms", timeout)
-                    if answer.status != 200:
-                        raise ConsulError(f"status {answer.status}")
-                    new_index = answer.headers.get("x-consul-index", "")
-                    if not new_index.isdigit():
-                        raise ConsulError("no X-Consul-Index")
-                    apply(orjson.loads(answer.body))
-                except (PollError, ConsulError, KeyError, TypeError, ValueError, AttributeError) as error:
-                    failures += 1
-                    index = 0
-                    pause = min(BACK_OFF_MAX, BACK_OFF_MIN * 2 ** min(failures - 1, 10))
-                    log.event("consul_error", path=path, error=repr(error), failures=failures)
-                    await self.sleep(pause * self.rng.uniform(0.5, 1.0))
-                    continue
-                failures = 0
-                # An index that went back means a new state store: query again at once from index 0.
-                index = int(new_index) if int(new_index) >= index else 0
-        finally:
-            poller.close(CloseReason.SHUTDOWN)
+            for path, apply in (("catalog", self._catalogue), ("health", self._health)):
+                query = BlockingQuery(self.config, f"/v1/{path}/service/{name}", apply, self._jitter)
+                group.create_task(query.watch.run())
+
+    def _jitter(self) -> float:
+        return self.rng.uniform(MIN_JITTER, 1.0)
 
     def _catalogue(self, raw: Any) -> None:
         self.instances = {desk.ident: desk for desk in map(self._parse_desk, raw)}
--- a/seamlb/subsystems/discovery.py
+++ b/seamlb/subsystems/discovery.py
@@ -7,7 +7,7 @@
 
 from seamlb.config import Config
 from seamlb.discovery.board import Board
-from seamlb.discovery.consul import Consul
+from seamlb.discovery.consul import MAX_CONNECTIONS, Consul
 from seamlb.extras import Plugins
 from seamlb.routing.agent import Agent
 from seamlb.routing.model import DeskListCallback, Discovery
@@ -27,6 +27,7 @@
             to_board, to_consul = self._merge(agent.list_changed, bool(config.board or config.known))
         self.board = Board(config.board, config.zones, to_board, skip_first_wait=config.inherited is not None)
         self.sources: list[Discovery] = [self.board]
+        self.connections_beside_board = MAX_CONNECTIONS if plugins.consul else 0
         if plugins.consul:
             self.sources.append(Consul(plugins.consul, config.zones, to_consul, config.seed))
 
--- a/tests/test_consul_faults.py
+++ b/tests/test_consul_faults.py
@@ -100,3 +100,21 @@
             server.has_leader = True
 
         await self.assert_told(TOLD_AFTER_FAILURE, lose_leader, elect_leader, (0.5, 4.0, 16.0))
+
+    # Review case 10, kin: a Consul that takes long to answer is heard, as the notice board is.
+    async def test_a_change_is_known_where_each_answer_takes_long(self) -> None:
+        def slow_down(server: ConsulServer) -> None:
+            server.answer_after = 3.0
+
+        await self.assert_told(TOLD_WITHIN, slow_down)
+
+    # Queries overlap: an answer that was under way for long must not bring back what a newer one has changed.
+    async def test_a_late_answer_of_a_silent_query_changes_nothing(self) -> None:
+        server, published = await self.follow_consul()
+        server.fall_silent()
+        server.mark_critical("a")
+        await self.eventually(lambda: len(published) == 2)
+        server.thawed.set()
+        queries = len(server.queries)
+        await self.eventually(lambda: len(server.queries) > queries + 2)
+        self.assertEqual(len(published), 2)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -29,11 +29,13 @@
 
 @pytest.mark.parametrize("total", [64, 96, 256, 512, 640, 4096])
 @pytest.mark.parametrize("servers", [1, 8, 24, 64])
-def test_caller_connections_leave_the_reserved_descriptors_free(total: int, servers: int) -> None:
+@pytest.mark.parametrize("discovery", [0, 6])
+def test_caller_connections_leave_the_reserved_descriptors_free(total: int, servers: int, discovery: int) -> None:
     management = max_management_connections(total, 32)
-    clients = max_caller_connections(total, servers, management)
+    clients = max_caller_connections(total, servers, management + discovery)
+    reserved = RESERVED + discovery
     assert clients >= int(total * MIN_CALLER_SHARE), "callers always get their minimum share"
-    assert clients + management + RESERVED + 2 * servers <= total or clients == int(total * MIN_CALLER_SHARE)
+    assert clients + management + reserved + 2 * servers <= total or clients == int(total * MIN_CALLER_SHARE)
 
 
 class ManyIdleCallers(ProcessTestCase):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,6 +1,7 @@
 """The notice board and Consul clients, against scripted HTTP servers."""
 
 import asyncio
+import time
 from typing import Any
 
 from seamlb import api
@@ -95,8 +96,8 @@
 
     async def test_consul_joins_catalogue_and_health_and_backs_off_on_errors(self) -> None:
         published: list[tuple[int, dict[str, int]]] = []
-        pauses: list[float] = []
         requests = {"catalog": 0, "health": 0}
+        asked_at: list[float] = []  # times of the queries of the health API
         recovered = asyncio.Event()
 
         def instance(name: str, port: int) -> dict[str, Any]:
@@ -119,6 +120,7 @@
                 if requests[api_name] == 1:
                     return http([instance("a", 1), instance("b", 2)], 7)
                 await asyncio.Event().wait()
+            asked_at.append(time.monotonic())
             match requests[api_name]:
                 case 1 | 2:
                     return http("no leader", status=500)
@@ -130,9 +132,6 @@
             await asyncio.Event().wait()
             return None
 
-        async def sleep(seconds: float) -> None:
-            pauses.append(seconds)
-
         server = ScriptedHttpServer(handler)
         config = ConsulConfig(await server.start(), "duty desk")
         consul = Consul(
@@ -140,7 +139,6 @@
             ["z"],
             lambda scope, desks: published.append((scope, {one.ident: one.availability for one in desks})),
             seed=1,
-            sleep=sleep,
         )
         await self.follow(consul, server)
         await self.eventually(lambda: published)
@@ -149,8 +147,11 @@
         recovered.set()
         await self.eventually(lambda: requests["health"] == 5)
         self.assertEqual(published[1:], [(api.Scope.FULL, {"n/a": 1, "n/b": 1})])
+        pauses = [one["retry_in_s"] for one in self.events("consul_error") if "/health/" in one["path"]]
         self.assertEqual(len(pauses), 2)
         self.assertTrue(0.25 <= pauses[0] <= 0.5 <= pauses[1] <= 1.0)
+        self.assertGreaterEqual(asked_at[1] - asked_at[0], pauses[0] - 0.001)  # the log rounds to milliseconds
+        self.assertGreaterEqual(asked_at[2] - asked_at[1], pauses[1] - 0.001)
         indexes = [path.split("index=")[1].split("&")[0] for path in server.paths if "/health/" in path]
         self.assertEqual(indexes, ["0", "0", "0", "9", "0"])
         self.assertIn("/v1/catalog/service/duty%20desk?", server.paths[0] + server.paths[1])
