Parse Consul's entries one by one, so that a malformed one hides no change of others

What callers saw, or would see: while one desk's registration can't be read (port, cell, checks), set-ups go on to other desks that are critical or gone; an agent that starts then refuses all calls.

Cause: one error made the whole answer unusable, for as long as the entry stands in Consul.

Fix: each entry is parsed on its own. A malformed one keeps what was known of its instance, else it is not listed, or drains; a `malformed` line names it once. A port out of range and a start that is not finite count as malformed, as they can't be used.

--- a/seamlb/discovery/consul.py
+++ b/seamlb/discovery/consul.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Generic, TypeVar
 from urllib.parse import quote
 
 import orjson
@@ -14,15 +15,20 @@
 from seamlb import log
 from seamlb.discovery.polls import MAX_POLLS, POLL_WAIT, Poll, PollRequest, Polls
 from seamlb.discovery.watch import ResponseError, Watch
+from seamlb.net.address import split_address
 from seamlb.protocol.http import Response
 from seamlb.routing.model import Availability, Desk, DeskListCallback, Scope
 
+T = TypeVar("T")
+
 MIN_WAIT = 0.1  # seconds
 HOLD_FACTOR = 17 / 16  # Consul adds up to a sixteenth of the wait time (API documentation, "Blocking Queries")
 # Seconds between an error and the next query; what is missed in an outage must be known soon after it.
 RETRY_MIN, RETRY_MAX = 0.5, 1.0
 MIN_JITTER = 0.5  # of the pause after an error
 MAX_INDEX_DIGITS = 20  # of a 64-bit number
+# What parsing raises for JSON of another form than the API's.
+MALFORMED = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
 MAX_CONNECTIONS = 2 * MAX_POLLS  # queries of the catalogue and of the health API
 
 
@@ -44,10 +50,7 @@
 
 
 class BlockingQuery:
-    """One path of Consul's API, followed by blocking queries; `on_body` takes each body.
-
-    It may raise LookupError, TypeError, ValueError, AttributeError or ArithmeticError for one that is malformed.
-    """
+    """One path of Consul's API, followed by blocking queries; `on_body` may raise MALFORMED for a body."""
 
     def __init__(
         self, config: ConsulConfig, path: str, on_body: Callable[[Any], None], jitter: Callable[[], float]
@@ -79,7 +82,7 @@
             return
         try:
             self.on_body(orjson.loads(response.body))
-        except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
+        except MALFORMED as error:
             raise ResponseError(repr(error)) from None
         self.newest_sent_at = poll.started
         # An index that went back means a new state store: query again at once from index 0.
@@ -98,6 +101,36 @@
         )
 
 
+class EntryParser(Generic[T]):
+    """Parses the entries of one path; one that is malformed keeps what was known of its instance."""
+
+    def __init__(self, path: str, parse: Callable[[str, Mapping[str, Any]], T]) -> None:
+        self.path = path
+        self.parse_entry = parse
+        self.malformed: dict[str, str] = {}  # the error by instance, in the latest list
+
+    def parse(self, entries: Mapping[str, Mapping[str, Any]], known: Mapping[str, T]) -> dict[str, T]:
+        """Return what the entries say, by instance; errors are logged as they appear."""
+        parsed, malformed = {}, {}
+        for ident, entry in entries.items():
+            try:
+                parsed[ident] = self.parse_entry(ident, entry)
+            except MALFORMED as error:
+                malformed[ident] = repr(error)
+                if ident in known:
+                    parsed[ident] = known[ident]
+        for ident, text in malformed.items():
+            if self.malformed.get(ident) != text:
+                log.event("malformed", kind="consul", path=self.path, desk=ident, error=text)
+        self.malformed = malformed
+        return parsed
+
+
+def _parse_state(ident: str, raw: Mapping[str, Any]) -> Availability:
+    passes = all(check["Status"] in ("passing", "warning") for check in raw["Checks"])
+    return Availability.READY if passes else Availability.DRAINING
+
+
 class Consul:
     """Follows one service; an instance missing from the catalogue is gone, one whose checks fail is draining."""
 
@@ -106,6 +139,8 @@
         self.zones = {name: index for index, name in enumerate(zones)}
         self.on_change = on_change
         self.rng = random.Random(seed)
+        self.catalogue_parser = EntryParser("catalog", self._parse_desk)
+        self.health_parser = EntryParser("health", _parse_state)
         self.instances: dict[str, Desk] | None = None
         self.states: dict[str, Availability] | None = None
         self.published: tuple[Desk, ...] | None = None
@@ -122,28 +157,31 @@
         return self.rng.uniform(MIN_JITTER, 1.0)
 
     def _catalogue(self, raw: Any) -> None:
-        self.instances = {desk.ident: desk for desk in map(self._parse_desk, raw)}
+        entries = {f"{entry['Node']}/{entry['ServiceID']}": entry for entry in raw}
+        self.instances = self.catalogue_parser.parse(entries, self.instances or {})
         self._publish()
 
-    def _parse_desk(self, raw: Mapping[str, Any]) -> Desk:
+    def _parse_desk(self, ident: str, raw: Mapping[str, Any]) -> Desk:
         meta = raw.get("ServiceMeta") or {}
-        address = raw.get("ServiceAddress") or raw["Address"]
-        host = f"[{address}]" if ":" in address else address
+        host = raw.get("ServiceAddress") or raw["Address"]
+        port = int(raw["ServicePort"])
+        address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        split_address(address)  # ValueError for a port out of range
+        since_ms = float(meta.get(self.config.since_key, 0) or 0)
+        if not math.isfinite(since_ms):
+            raise ValueError(f"{self.config.since_key}: not finite")
         return Desk(
-            f"{raw['Node']}/{raw['ServiceID']}",
-            f"{host}:{int(raw['ServicePort'])}",
+            ident,
+            address,
             self.zones.get(str(meta.get(self.config.zone_key, "")), 0),
             int(meta.get(self.config.cell_key, 0)),
             Availability.DRAINING,
-            float(meta.get(self.config.since_key, 0) or 0),
+            since_ms,
         )
 
     def _health(self, raw: Any) -> None:
-        self.states = {}
-        for entry in raw:
-            passes = all(check["Status"] in ("passing", "warning") for check in entry["Checks"])
-            ident = f"{entry['Node']['Node']}/{entry['Service']['ID']}"
-            self.states[ident] = Availability.READY if passes else Availability.DRAINING
+        entries = {f"{entry['Node']['Node']}/{entry['Service']['ID']}": entry for entry in raw}
+        self.states = self.health_parser.parse(entries, self.states or {})
         self._publish()
 
     def _publish(self) -> None:
--- a/tests/consul_server.py
+++ b/tests/consul_server.py
@@ -26,6 +26,7 @@
     cuts_answers: bool = False  # queries get the first part of their answer and nothing more
     silent: set[asyncio.StreamWriter] = field(default_factory=set)
     thawed: asyncio.Event = field(default_factory=asyncio.Event)
+    spoilt: dict[str, dict[str, Any]] = field(default_factory=dict)  # by desk: what its entries hold instead
     queries: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -67,12 +68,13 @@
     def _body(self, path: str) -> list[dict[str, Any]]:
         if path.startswith("/v1/catalog/"):
             place = {"Address": "127.0.0.1", "ServicePort": 9, "ServiceMeta": {"cell": "1"}}
-            return [{"Node": "n", "ServiceID": name, **place} for name in "ab"]
+            return [{"Node": "n", "ServiceID": name, **place, **self.spoilt.get(name, {})} for name in "ab"]
         return [
             {
                 "Node": {"Node": "n"},
                 "Service": {"ID": name},
                 "Checks": [{"Status": "critical" if name in self.critical else "passing"}],
+                **self.spoilt.get(name, {}),
             }
             for name in "ab"
         ]
--- a/tests/test_consul_faults.py
+++ b/tests/test_consul_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from typing import Any
 
 from seamlb.api import Availability
 from seamlb.discovery.consul import Consul, ConsulConfig
@@ -12,14 +13,25 @@
 TOLD_WITHIN = 7.0  # seconds after a change (PROTOCOL, "Figures")
 TOLD_AFTER_FAILURE = 6.0  # seconds after a failed or given-up query and Consul's return (operators' terms)
 WAITS = (0.0, 0.01, 1.0, 2.0, 5.0, 30.0, 600.0)  # of the configuration, in seconds
+MALFORMED_ENTRIES: tuple[dict[str, Any], ...] = (
+    {"ServicePort": 99999},
+    {"ServicePort": "none"},
+    {"ServiceMeta": {"cell": "x"}},
+    {"ServiceMeta": {"up_since_ms": "nan"}},
+    {"ServiceMeta": 7},
+    {"Checks": None},
+    {"Checks": [{"CheckID": "c"}]},
+)
 BEFORE_CHANGE = 0.5  # seconds from a fault to the change
 
 
 class ConsulFaults(DiscoveryTestCase):
-    async def follow_consul(self, wait: float = 30.0) -> tuple[ConsulServer, list[tuple[float, dict[str, int]]]]:
+    async def follow_consul(
+        self, wait: float = 30.0, spoilt: dict[str, dict[str, Any]] | None = None
+    ) -> tuple[ConsulServer, list[tuple[float, dict[str, int]]]]:
         """Follow a server until both desks are known; returns it, and each list with the time it was published."""
         published: list[tuple[float, dict[str, int]]] = []
-        server = ConsulServer()
+        server = ConsulServer(spoilt=spoilt or {})
         consul = Consul(
             ConsulConfig(await server.start(), "desk", wait),
             ["z"],
@@ -118,3 +130,21 @@
         queries = len(server.queries)
         await self.eventually(lambda: len(server.queries) > queries + 2)
         self.assertEqual(len(published), 2)
+
+    # One malformed entry made the whole answer unusable: no change of the others was known while it stood there.
+    async def test_a_malformed_entry_hides_no_change_of_the_other_desks(self) -> None:
+        for spoilt in MALFORMED_ENTRIES:
+            with self.subTest(spoilt=spoilt):
+                server, published = await self.follow_consul()
+                server.spoilt["b"] = spoilt
+                server.mark_critical("a")
+                await self.eventually(lambda published=published: len(published) == 2)
+                self.assertEqual(published[1][1], {"n/a": Availability.DRAINING, "n/b": Availability.READY})
+
+    # One malformed entry made the whole answer unusable: an agent that started then knew no desk at all.
+    async def test_a_malformed_entry_hides_no_other_desk_at_the_start(self) -> None:
+        for spoilt in MALFORMED_ENTRIES:
+            with self.subTest(spoilt=spoilt):
+                server, published = await self.follow_consul(spoilt={"b": spoilt})
+                self.assertEqual(published[0][1]["n/a"], Availability.READY)
+                self.assertNotEqual(published[0][1].get("n/b"), Availability.READY)
