Ask Consul for index 1 where it sends 0, as it does not hold a query from 0

What was seen: with X-Consul-Index: 0 the agent queries without a pause, which takes its time from callers.

Cause: a query from index 0 is answered at once, and the index was asked for as it came.

Fix: an index under 1 counts as 1, as Consul's documentation asks of clients.

--- a/seamlb/discovery/consul.py
+++ b/seamlb/discovery/consul.py
@@ -26,6 +26,7 @@
 # Seconds between an error and the next query; what is missed in an outage must be known soon after it.
 RETRY_MIN, RETRY_MAX = 0.5, 1.0
 MIN_JITTER = 0.5  # of the pause after an error
+MIN_INDEX = 1  # a query from index 0 is not held
 MAX_INDEX_DIGITS = 20  # of a 64-bit number
 # What parsing raises for JSON of another form than the API's.
 MALFORMED = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
@@ -86,7 +87,7 @@
             raise ResponseError(repr(error)) from None
         self.newest_sent_at = poll.started
         # An index that went back means a new state store: query again at once from index 0.
-        self.index = int(digits) if int(digits) >= poll.request.watch else 0
+        self.index = max(MIN_INDEX, int(digits)) if int(digits) >= poll.request.watch else 0
 
     def poll_failed(self, poll: Poll, reason: str) -> None:
         """One line for a query that failed or has become overdue."""
--- a/tests/test_consul_faults.py
+++ b/tests/test_consul_faults.py
@@ -27,11 +27,11 @@
 
 class ConsulFaults(DiscoveryTestCase):
     async def follow_consul(
-        self, wait: float = 30.0, spoilt: dict[str, dict[str, Any]] | None = None
+        self, wait: float = 30.0, spoilt: dict[str, dict[str, Any]] | None = None, index: int = 10
     ) -> tuple[ConsulServer, list[tuple[float, dict[str, int]]]]:
         """Follow a server until both desks are known; returns it, and each list with the time it was published."""
         published: list[tuple[float, dict[str, int]]] = []
-        server = ConsulServer(spoilt=spoilt or {})
+        server = ConsulServer(index, spoilt=spoilt or {})
         consul = Consul(
             ConsulConfig(await server.start(), "desk", wait),
             ["z"],
@@ -148,3 +148,10 @@
                 server, published = await self.follow_consul(spoilt={"b": spoilt})
                 self.assertEqual(published[0][1]["n/a"], Availability.READY)
                 self.assertNotEqual(published[0][1].get("n/b"), Availability.READY)
+
+    # An index of 0 was asked for again, which Consul answers at once: the agent asked without a pause.
+    async def test_an_index_of_0_is_not_asked_for_without_a_pause(self) -> None:
+        server, _ = await self.follow_consul(index=0)
+        queries = len(server.queries)
+        await asyncio.sleep(1.0)
+        self.assertLessEqual(len(server.queries), queries + 2)
