--- a/tests/http_peers.py
+++ b/tests/http_peers.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from seamlb.routing.model import Discovery
+from tests.consul_server import ConsulServer
 from tests.loopback import DaemonTestCase
 
 Handler = Callable[["ScriptedHttpServer", str], Awaitable[bytes | None]]
@@ -57,7 +58,7 @@
 class DiscoveryTestCase(DaemonTestCase):
     """Base class of tests that follow a list of desks."""
 
-    async def follow(self, discovery: Discovery, server: ScriptedHttpServer) -> None:
+    async def follow(self, discovery: Discovery, server: ScriptedHttpServer | ConsulServer) -> None:
         """Follow the list of the server until the test ends."""
         following = asyncio.create_task(discovery.run())
 
--- a/tests/test_consul_faults.py
+++ b/tests/test_consul_faults.py
@@ -38,7 +38,7 @@
             lambda scope, desks: published.append((time.monotonic(), {d.ident: d.availability for d in desks})),
             seed=1,
         )
-        await self.follow(consul, server)  # type: ignore[arg-type]
+        await self.follow(consul, server)
         await self.eventually(lambda: published and len(server.queries) >= 4)
         return server, published
 
