Split Consul's client: settings, the list as a pure module, and the queries

Need: consul.py held the table's settings, the parsing of entries, the list and the queries, and parsed and published in one step, so that a fault in the agent as it took the list was logged as Consul's.

Change: consul_config.py has the settings, consul_list.py what the two APIs say as a list of desks. No other behaviour changes.

--- a/seamlb/extras.py
+++ b/seamlb/extras.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from seamlb.config import Config, ConfigError
-from seamlb.discovery.consul import ConsulConfig
+from seamlb.discovery.consul_config import ConsulConfig
 from seamlb.members.settings import MemberKeys, MembersConfig, load_keys
 from seamlb.net.address import split_address
 from seamlb.sip.settings import SipFrontConfig
--- a/tests/test_consul_faults.py
+++ b/tests/test_consul_faults.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from seamlb.api import Availability
-from seamlb.discovery.consul import Consul, ConsulConfig
+from seamlb.discovery.consul import Consul
+from seamlb.discovery.consul_config import ConsulConfig
 from tests.consul_server import ConsulServer
 from tests.http_peers import DiscoveryTestCase
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,7 +6,8 @@
 
 from seamlb import api
 from seamlb.discovery.board import Board
-from seamlb.discovery.consul import Consul, ConsulConfig
+from seamlb.discovery.consul import Consul
+from seamlb.discovery.consul_config import ConsulConfig
 from seamlb.discovery.polls import POLL_WAIT, SILENCE_MARGIN
 from seamlb.protocol.http import HttpError, ResponseReader
 from tests.http_peers import DiscoveryTestCase, ScriptedHttpServer, http, notices
@@ -155,7 +156,7 @@
         indexes = [path.split("index=")[1].split("&")[0] for path in server.paths if "/health/" in path]
         self.assertEqual(indexes, ["0", "0", "0", "9", "0"])
         self.assertIn("/v1/catalog/service/duty%20desk?", server.paths[0] + server.paths[1])
-        (desk, _) = sorted(consul.instances.values(), key=lambda one: one.ident)
+        (desk, _) = sorted(consul.list.instances.values(), key=lambda one: one.ident)
         self.assertEqual((desk.address, desk.cell), ("127.0.0.1:1", 2))
 
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -9,6 +9,7 @@
 from seamlb.desks.connection_manager import CALL_SILENCE, RECHECK, RETRY_MIN, SETUP_SILENCE
 from seamlb.desks.liveness import ACCEPT_AGE, CUT_AFTER, RELEASE_WITHIN, Liveness
 from seamlb.discovery import consul
+from seamlb.discovery.consul_config import ConsulConfig
 from seamlb.discovery.polls import CONNECT_MARGIN, POLL_WAIT, RETRY_MAX, SILENCE_MARGIN
 from seamlb.drain import UPDATE_INTERVAL_S
 from seamlb.fronts.releases import PREFERENCE_WAIT, RELEASE_DEADLINE, RESEND_AFTER
@@ -109,7 +110,7 @@
 # Review case 10: the time until a silent query of Consul was noticed followed a setting.
 @pytest.mark.parametrize("wait", [0.0, 0.01, 0.5, 2.0, 30.0, 600.0, math.inf])
 def test_a_change_in_consul_is_known_in_time(wait: float) -> None:
-    config = consul.ConsulConfig("127.0.0.1:1", "desk", wait)
+    config = ConsulConfig("127.0.0.1:1", "desk", wait)
     missed_query = config.query_wait * consul.HOLD_FACTOR + SILENCE_MARGIN
     assert missed_query + LATE_CONNECTION < TOLD_AFTER_FAILURE < TOLD
     after_refusal = consul.RETRY_MAX + LATE_CONNECTION
