Test a connection that comes up as its server is displaced by the loop's turns, not every 5 ms

Cause: in the test. It looked every 5 ms for an attempt to connect that is under way; on this machine one comes up between two looks, and the state that it waits for is never seen.

Change: it looks in each turn of the event loop, through which an attempt has to pass, and takes only an attempt that began after the new server listened. What is then told and checked is the same.

--- a/tests/test_displaced_servers.py
+++ b/tests/test_displaced_servers.py
@@ -7,7 +7,7 @@
 from seamlb.desks.address_owner import address_owner
 from seamlb.protocol.sip import Message
 from seamlb.routing.model import Desk
-from tests.loopback import DaemonTestCase, Peer, ScriptedDesk, answer, invite, sip_request
+from tests.loopback import HANG_TIMEOUT, DaemonTestCase, Peer, ScriptedDesk, answer, invite, sip_request
 from tests.sip_peers import SipTestCase
 from tests.support import LONG_TARGETS
 from tests.udp_peer import UdpPeer
@@ -58,7 +58,11 @@
     async def test_a_connection_that_comes_up_as_the_new_one_is_listed_is_not_used(self) -> None:
         daemon, new, _ = await self.start_replaced()
         link = daemon.desks.links["d0"]
-        await self.eventually(lambda: link.manager.attempts and not link.connections)
+        refused = link.manager.attempts[:]  # those that began before the new one listened
+        async with asyncio.timeout(HANG_TIMEOUT):
+            # Looked at in each turn of the event loop: on loopback a connection comes up within a millisecond.
+            while link.connections or not set(link.manager.attempts) - set(refused):
+                await asyncio.sleep(0)
         tell(daemon, listed("new", new.address, 5))
         await self.eventually(lambda: new.peers)
         await asyncio.sleep(0.3)
