--- a/tests/test_consul_faults.py
+++ b/tests/test_consul_faults.py
@@ -132,7 +132,7 @@
         await self.eventually(lambda: len(server.queries) > queries + 2)
         self.assertEqual(len(published), 2)
 
-    # One malformed entry made the whole answer unusable: no change of the others was known while it stood there.
+    # One malformed entry ended the parsing half way: it and the desks that were listed after it drained.
     async def test_a_malformed_entry_hides_no_change_of_the_other_desks(self) -> None:
         for spoilt in MALFORMED_ENTRIES:
             with self.subTest(spoilt=spoilt):
@@ -142,7 +142,7 @@
                 await self.eventually(lambda published=published: len(published) == 2)
                 self.assertEqual(published[1][1], {"n/a": Availability.DRAINING, "n/b": Availability.READY})
 
-    # One malformed entry made the whole answer unusable: an agent that started then knew no desk at all.
+    # One malformed entry made the catalogue's answer unusable: an agent that started then knew no desk at all.
     async def test_a_malformed_entry_hides_no_other_desk_at_the_start(self) -> None:
         for spoilt in MALFORMED_ENTRIES:
             with self.subTest(spoilt=spoilt):
